--- a/relay/clients.h
+++ b/relay/clients.h
@@ -25,6 +25,7 @@
   ~Clients();
 
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
+  size_t open() const { return sessions_.size(); }
 
   // Takes no new connection and closes those that are open, each only between requests.
   void finish();
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -57,6 +57,7 @@
 
   void add(Notice notice);
   bool empty() const { return queue_.empty(); }
+  size_t size() const { return queue_.size(); }
 
  private:
   class Post;
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -35,6 +35,9 @@
   // What was remembered last under each name.
   const std::map<std::string, std::string>& remembered() const { return remembered_; }
 
+  // What a compaction would keep, with what is set aside for the records to come.
+  size_t live_bytes() const { return live_bytes_; }
+
   // False: there is no room or it could not be written, and the message must not be taken on.
   bool accepted(const Handed& message, Time due);
   // False: it could not be written, and the call must not start.
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -16,6 +16,7 @@
 constexpr Time kServeOn = 500 * kMs;    // after SIGTERM: new connections still come for a while
 constexpr Time kLastCall = 3500 * kMs;  // SIGKILL follows 3.7 s after SIGTERM at the soonest
 constexpr Time kStopPoll = 50 * kMs;
+constexpr Time kReport = 10 * 1000 * kMs;
 constexpr Time kFirstWord = 300 * kMs;  // discovery answers at once, unless it is down
 constexpr Time kTransit = 2 * kMs;      // a message's time runs from its client's sending
 
@@ -41,6 +42,7 @@
       policy_(config.settings, config.seed),
       wake_timer_(io),
       stop_timer_(io),
+      report_timer_(io),
       notices_(io, config.discovery, [this](const std::string& id) { journal_.done(id); }),
       upstream_(
           io, upstream_limits(config), config.report_fields,
@@ -112,6 +114,25 @@
     put(std::move(handed), std::move(answer));
   });
   listening_(clients_->address());
+  report();
+}
+
+// What the log has of the relay's own state: levels now, and counts since the line before.
+void Relay::report() {
+  report_timer_.expires_after(std::chrono::microseconds(kReport));
+  report_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error) return;
+    std::fprintf(
+        stderr,
+        "status: clients %zu, held %zu, calls %zu, idle connections %zu, notices %zu, journal %zu bytes; "
+        "taken %zu, busy when full %zu, without disk %zu, by decision %zu; delivered %zu, returned %zu, "
+        "failed %zu\n",
+        clients_->open(), held_.size(), upstream_.out(), upstream_.idle(), notices_.size(),
+        journal_.live_bytes(), counts_.taken, counts_.busy_full, counts_.busy_disk, counts_.busy_policy,
+        counts_.delivered, counts_.returned, counts_.failed);
+    counts_ = {};
+    report();
+  });
 }
 
 // Messages from before a restart are the module's to decide on, like any other.
@@ -153,7 +174,10 @@
   if (numbers_.contains(handed.id)) return answer("+OK");  // sent once more: it is held already
   const int message_class = class_of(handed.message_class);
   if (message_class < 0) return answer("-ERR unknown class");
-  if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) return answer("-BUSY");
+  if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) {
+    ++counts_.busy_full;
+    return answer("-BUSY");
+  }
   const uint64_t number = ++last_number_;
   Arrival in;
   in.id = number;
@@ -253,11 +277,15 @@
     std::string line = "+OK";
     if (const auto away = turned_away.find(item.number); away != turned_away.end()) {
       line = away->second;
+      ++counts_.busy_policy;
     } else if (!journal_.accepted(handed, wall_now() + held->second.due - steady_now())) {
       line = "-BUSY";  // no room on the disk
+      ++counts_.busy_disk;
       happened(Withdrawn{item.number});
     }
-    if (line != "+OK") {
+    if (line == "+OK") {
+      ++counts_.taken;
+    } else {
       numbers_.erase(handed.id);
       held_.erase(held);
     }
@@ -314,9 +342,11 @@
 void Relay::finish(uint64_t number, std::optional<Notice> notice) {
   const auto held = held_.find(number);
   if (notice) {
+    ++(notice->returned ? counts_.returned : counts_.failed);
     journal_.owed(*notice);
     notices_.add(std::move(*notice));
   } else {
+    ++counts_.delivered;
     journal_.done(held->second.handed.id);
   }
   numbers_.erase(held->second.handed.id);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -42,6 +42,16 @@
     Clients::Answer answer;
   };
 
+  struct Counts {  // since the last report
+    size_t taken = 0;
+    size_t busy_full = 0;  // turned away: max_open messages are held
+    size_t busy_disk = 0;  // turned away: no room in the journal
+    size_t busy_policy = 0;
+    size_t delivered = 0;
+    size_t returned = 0;
+    size_t failed = 0;
+  };
+
   void recall();
   void open();
   void resume();
@@ -58,6 +68,7 @@
   void finish(uint64_t number, std::optional<Notice> notice);
   void arm();
   void wait_for_end();
+  void report();
   std::pair<int, Endpoint> lane_of(const Member& member) const;
 
   boost::asio::io_context& io_;
@@ -75,6 +86,8 @@
   std::set<Time> wakes_;
   boost::asio::steady_timer wake_timer_;
   boost::asio::steady_timer stop_timer_;
+  boost::asio::steady_timer report_timer_;
+  Counts counts_;
   Time stopping_since_ = 0;  // 0: not stopping
   bool closed_ = false;      // clients were let go
   Notices notices_;
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -48,6 +48,7 @@
   void probe(const Endpoint& endpoint, const tcp::endpoint& address);
   void close_idle(const Endpoint& endpoint);
   size_t out() const { return exchanges_.size(); }
+  size_t idle() const { return idle_count_; }
 
  private:
   class Exchange;
