--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -13,8 +13,12 @@
 namespace {
 
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
-constexpr size_t kMostName = 128;                   // ids, keys and class names
-constexpr Time kMostLife = Time{24} * 3600 * 1000;  // milliseconds
+// A connection with no open request may be closed after 2 s, and a peer that has not made one is owed an
+// error line or a close within 3 s of connecting. Without this, quiet peers fill all places in the end.
+constexpr auto kQuiet = std::chrono::milliseconds(2000);
+constexpr auto kRestOfRequest = std::chrono::milliseconds(500);  // for one that is under way by then
+constexpr size_t kMostName = 128;                                // ids, keys and class names
+constexpr Time kMostLife = Time{24} * 3600 * 1000;               // milliseconds
 
 // Ids and keys become header lines and journal records: nothing that could break one passes.
 bool is_name(std::string_view text) {
@@ -69,20 +73,27 @@
 // One client: a request is read, answered, and only then the next one is looked at.
 class Clients::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(Clients& owner, tcp::socket socket) : owner_(&owner), socket_(std::move(socket)) {}
+  Session(Clients& owner, tcp::socket socket)
+      : owner_(&owner), socket_(std::move(socket)), timer_(owner.io_) {}
 
   std::list<std::shared_ptr<Session>>::iterator place;
 
+  // Waits for a request: the first, or the next one after an answer.
+  void begin() {
+    arm(kQuiet);
+    proceed();
+  }
+
   void proceed() {
     std::optional<std::vector<std::string>> words;
     try {
       words = parser_.next();
     } catch (const RespError& error) {
-      last_ = true;
-      return answer("-ERR protocol error: " + std::string(error.what()));
+      return answer_last("-ERR protocol error: " + std::string(error.what()));
     }
     if (words) return handle(*words);
     if (owner_ == nullptr) return;
+    if (late_) return answer_last("-ERR protocol error: request is not complete");
     reading_ = true;
     socket_.async_read_some(
         boost::asio::buffer(bytes_),
@@ -98,11 +109,29 @@
 
   void orphan() {
     owner_ = nullptr;
+    timer_.cancel();
     boost::system::error_code ignored;
     socket_.close(ignored);
   }
 
  private:
+  void arm(std::chrono::milliseconds time) {
+    timer_.expires_after(time);
+    timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+      const bool due = self->timer_.expiry() <= boost::asio::steady_timer::clock_type::now();
+      if (!error && due && self->owner_ != nullptr) self->overdue();
+    });
+  }
+
+  void overdue() {
+    if (writing_) return close();  // the peer does not read its answer
+    if (!reading_) return;         // its request is being decided on
+    late_ = grace_;
+    if (!std::exchange(grace_, true)) arm(kRestOfRequest);
+    boost::system::error_code ignored;
+    if (late_ || parser_.empty()) socket_.cancel(ignored);  // wakes the read, which decides
+  }
+
   void read(const boost::system::error_code& error, size_t count) {
     reading_ = false;
     if (owner_ == nullptr) return;
@@ -114,6 +143,7 @@
     if (error == boost::asio::error::operation_aborted && socket_.available(failed) > 0 && !failed) {
       return proceed_once();
     }
+    if (late_) return proceed();
     close();
   }
 
@@ -127,6 +157,8 @@
   }
 
   void handle(const std::vector<std::string>& words) {
+    timer_.cancel();
+    grace_ = late_ = false;
     const std::string command = upper(words[0]);
     if (command == "PING" && words.size() <= 2) {
       if (words.size() == 1) return answer("+PONG");
@@ -142,17 +174,26 @@
     }
   }
 
+  void answer_last(std::string line) {
+    last_ = true;
+    answer(std::move(line));
+  }
+
   void answer(std::string line) {
+    arm(kQuiet);
+    writing_ = true;
     out_ = std::move(line) + "\r\n";
     boost::asio::async_write(socket_, boost::asio::buffer(out_),
                              [self = shared_from_this()](auto error, size_t) {
+                               self->writing_ = false;
                                if (self->owner_ == nullptr) return;
                                if (error || self->last_) return self->close();
-                               self->proceed();
+                               self->begin();
                              });
   }
 
   void close() {
+    timer_.cancel();
     boost::system::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
     socket_.close(ignored);
@@ -161,10 +202,14 @@
 
   Clients* owner_;
   tcp::socket socket_;
+  boost::asio::steady_timer timer_;
   RespParser parser_;
   std::array<char, 16 * 1024> bytes_;
   std::string out_;
   bool reading_ = false;
+  bool writing_ = false;
+  bool grace_ = false;  // the connection's time is up, but for the rest of a request that is under way
+  bool late_ = false;   // and that did not come
   bool last_ = false;
 };
 
@@ -199,7 +244,7 @@
     socket.set_option(tcp::no_delay(true), ignored);
     auto session = std::make_shared<Session>(*this, std::move(socket));
     session->place = sessions_.insert(sessions_.end(), session);
-    session->proceed();
+    session->begin();
     accept();
   });
 }
--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -97,6 +97,11 @@
   return out;
 }
 
+bool Socket::ended() {
+  char byte = 0;
+  return buffer_.empty() && readable(fd_, kDeadlineMs) && ::recv(fd_, &byte, 1, MSG_PEEK) <= 0;
+}
+
 std::optional<Request> read_request(Socket& socket) {
   Request out;
   out.first = socket.line();
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -43,6 +43,7 @@
   bool send(const std::string& bytes) const;
   std::string line();                 // without its end; empty at the end of the stream
   std::string exactly(size_t count);  // shorter at the end of the stream
+  bool ended();  // waits for the peer to close; false if it sends something or never does
 
  private:
   bool fill();
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -86,6 +86,39 @@
   EXPECT_EQ(client.line(), "+PONG");
 }
 
+// Peers that keep a place without using it once kept clients that had something to say in the backlog.
+TEST(Program, QuietPeersMakeRoomForClients) {
+  Stage s;
+  s.config["limits"]["sockets"] = 64;
+  Program small(s.config);
+  small.start();
+  Socket used = small.client();
+  used.send("*1\r\n$4\r\nPING\r\n");
+  EXPECT_EQ(used.line(), "+PONG");
+  std::vector<Socket> quiet;
+  for (int i = 0; i < 50; ++i) quiet.push_back(small.client());
+  Socket client = small.client();
+  client.send(put_bytes("00000000000000a1", kFacts));
+  EXPECT_EQ(client.line(), "+OK");
+  EXPECT_TRUE(used.ended());
+  EXPECT_TRUE(quiet.front().ended());
+}
+
+TEST(Program, TellsAPeerThatItsRequestIsNotComplete) {
+  Stage s;
+  s.program.start();
+  Socket fresh = s.program.client();
+  Socket used = s.program.client();
+  used.send("*1\r\n$4\r\nPING\r\n");
+  EXPECT_EQ(used.line(), "+PONG");
+  const std::string bytes = put_bytes("00000000000000a1", kFacts);
+  for (Socket* peer : {&fresh, &used}) peer->send(bytes.substr(0, bytes.size() / 2));
+  for (Socket* peer : {&fresh, &used}) {
+    EXPECT_TRUE(peer->line().starts_with("-ERR"));
+    EXPECT_TRUE(peer->ended());
+  }
+}
+
 TEST(Program, TurnsAwayWhatIsOverItsRoom) {
   Stage s;
   s.config["settings"]["bounds"]["open_cap"] = 4;
