Hand each message's tenant to the module, across a restart too

Every message counted as the first tenant's: its quota was spent by all, and the worth of messages within a share was taken as that beyond one.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -58,11 +58,13 @@
     const std::string_view name = item.substr(0, equals);
     const std::string_view value = item.substr(equals + 1);
     if (name == "c") out.message_class = value;
+    if (name == "t") out.tenant = value;
     if (name == "k") out.key = value;
     if (name == "d") out.life = 1000 * number(value, kMostLife);
     if (name == "dest") out.destination = static_cast<int>(number(value, 1'000'000));
   }
   if (!is_name(out.message_class)) throw std::invalid_argument("unreadable class");
+  if (!out.tenant.empty() && !is_name(out.tenant)) throw std::invalid_argument("unreadable tenant");
   if (!out.key.empty() && !is_name(out.key)) throw std::invalid_argument("unreadable idempotency key");
   if (out.life < 0) throw std::invalid_argument("no d");
   if (out.destination < 0) throw std::invalid_argument("no dest");
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -46,6 +46,7 @@
 class Reader {
  public:
   explicit Reader(std::string_view bytes) : bytes_(bytes) {}
+  bool more() const { return !bytes_.empty(); }
   char kind() { return raw(1)[0]; }
   int64_t number() {
     int64_t value = 0;
@@ -142,6 +143,7 @@
     entry.message.destination = static_cast<int>(in.number());
     entry.due = in.number();
     entry.message.body = in.text();
+    if (in.more()) entry.message.tenant = in.text();  // records of earlier versions end here
     places[id] = recovered_.size();
     recovered_.push_back(std::move(entry));
     places_[id] = ++order_;
@@ -192,7 +194,7 @@
 
 bool Journal::accepted(const Handed& m, Time due) {
   Writer out(kAccepted, m.id);
-  out.text(m.message_class).text(m.key).number(m.destination).number(due).text(m.body);
+  out.text(m.message_class).text(m.key).number(m.destination).number(due).text(m.body).text(m.tenant);
   const size_t bytes = kHeader + out.payload().size() + kReserve;
   if (static_cast<double>(live_bytes_ + bytes) > kAcceptPart * static_cast<double>(most_file_)) return false;
   places_[m.id] = ++order_;
--- a/relay/message.h
+++ b/relay/message.h
@@ -16,6 +16,7 @@
   int destination = 0;
   Time life = 0;  // how long it may still be delivered
   std::string body;
+  std::string tenant;  // empty if none was named
 };
 
 struct Notice {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -28,6 +28,14 @@
   return out;
 }
 
+// Of a class or tenant among those of the settings; -1 if it is none of them.
+template <typename Named>
+int place_of(const std::vector<Named>& list, const std::string& name) {
+  const auto it =
+      std::find_if(list.begin(), list.end(), [&](const Named& item) { return item.name == name; });
+  return it == list.end() ? -1 : static_cast<int>(it - list.begin());
+}
+
 std::chrono::steady_clock::time_point at_time(Time t) {
   return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
 }
@@ -100,10 +108,12 @@
   journal_.remember(kDestination + std::to_string(memory.destination), fact.dump());
 }
 
-int Relay::class_of(const std::string& name) const {
-  const auto& classes = config_.settings.classes;
-  const auto it = std::find_if(classes.begin(), classes.end(), [&](const auto& c) { return c.name == name; });
-  return it == classes.end() ? -1 : static_cast<int>(it - classes.begin());
+int Relay::class_of(const std::string& name) const { return place_of(config_.settings.classes, name); }
+
+// Sites without tenants name none.
+int Relay::tenant_of(const std::string& name) const {
+  const auto& tenants = config_.settings.tenants;
+  return tenants.empty() ? 0 : place_of(tenants, name);
 }
 
 // Only now messages are taken on or resumed: what discovery had to tell at once has been heard.
@@ -157,6 +167,7 @@
       finish(number, Notice{entry.message.id, false, 0});
       continue;
     }
+    in.tenant = std::max(0, tenant_of(entry.message.tenant));
     in.due = held.due;
     in.destination = entry.message.destination;
     in.attempts = entry.attempts;
@@ -174,6 +185,8 @@
   if (numbers_.contains(handed.id)) return answer("+OK");  // sent once more: it is held already
   const int message_class = class_of(handed.message_class);
   if (message_class < 0) return answer("-ERR unknown class");
+  const int tenant = tenant_of(handed.tenant);
+  if (tenant < 0) return answer("-ERR unknown tenant");
   if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) {
     ++counts_.busy_full;
     return answer("-BUSY");
@@ -182,6 +195,7 @@
   Arrival in;
   in.id = number;
   in.message_class = message_class;
+  in.tenant = tenant;
   in.due = steady_now() + handed.life - std::min(kTransit, handed.life);
   in.destination = handed.destination;
   numbers_[handed.id] = number;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -57,6 +57,7 @@
   void resume();
   void remember(const DestinationMemory& memory);
   int class_of(const std::string& name) const;
+  int tenant_of(const std::string& name) const;
   void put(Handed handed, Clients::Answer answer);
   void told(const HostList& list);
   bool may_start(const Call& call);
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -50,6 +50,7 @@
     return parse_put({"MSG.PUT", "0", id, list, ""});
   };
   EXPECT_EQ(parse("a", "c=x,d=8000,dest=7,r=1,again=1").life, 8'000'000);
+  EXPECT_EQ(parse("a", "c=x,t=acme,d=8000,dest=7").tenant, "acme");
   EXPECT_THROW(parse("a\r\nX: y", "c=x,d=8000,dest=7"), std::invalid_argument);
   EXPECT_THROW(parse("a", "c=x,k=b\r\nc,d=8000,dest=7"), std::invalid_argument);
   EXPECT_THROW(parse("a", "c=x,d=-1,dest=7"), std::invalid_argument);
@@ -83,7 +84,7 @@
   ~JournalTest() override { std::filesystem::remove_all(folder_); }
 
   static Handed message(const std::string& id, size_t body = 10) {
-    return {id, "keyed", "key", 7, 0, std::string(body, '\0')};
+    return {id, "keyed", "key", 7, 0, std::string(body, '\0'), "acme"};
   }
   std::string bytes() const {
     std::ifstream in(folder_ / "journal", std::ios::binary);
@@ -108,6 +109,7 @@
   const auto& left = journal.recovered();
   ASSERT_EQ(left.size(), 3u);
   EXPECT_EQ(left[0].message.body, std::string(10, '\0'));
+  EXPECT_EQ(left[0].message.tenant, "acme");
   EXPECT_EQ(left[0].due, 1234);
   EXPECT_EQ(left[0].attempts, 2);
   EXPECT_EQ(left[0].unsettled.at(0), std::make_pair(Time{100}, 1));
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -119,6 +119,30 @@
   }
 }
 
+// The one beyond its quota must not spend another's: what is within a quota goes first.
+TEST(Program, CountsEachTenantAgainstItsOwnQuota) {
+  Stage s;
+  nlohmann::json& settings = s.config["settings"];
+  settings["family_info"]["calls_out"] = 1;
+  settings["over_share_worth"] = 0.1;
+  settings["realms"] = {{{"name", "over"}, {"quota_per_s", 1e-6}},
+                        {{"name", "within"}, {"quota_per_s", 1e6}}};
+  Program program(s.config);
+  program.start();
+  Socket client = program.client();
+  const auto put = [&](const std::string& id, const std::string& tenant) {
+    client.send(put_bytes(id, "c=safe,t=" + tenant + ",d=60000,dest=7"));
+    return client.line();
+  };
+  EXPECT_EQ(put("a1", "over"), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "a1");
+  EXPECT_EQ(put("a2", "over"), "+OK");
+  EXPECT_EQ(put("b1", "within"), "+OK");
+  EXPECT_TRUE(put("c1", "nobody").starts_with("-ERR"));
+  s.host.answer("200");
+  EXPECT_EQ(id_of(s.host.next()), "b1");
+}
+
 TEST(Program, TurnsAwayWhatIsOverItsRoom) {
   Stage s;
   s.config["settings"]["bounds"]["open_cap"] = 4;
