--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -132,14 +132,16 @@
   report_timer_.expires_after(std::chrono::microseconds(kReport));
   report_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
+    const Upstream::Broken broken = upstream_.broken();
     std::fprintf(
         stderr,
         "status: clients %zu, held %zu, calls %zu, idle connections %zu, notices %zu, journal %zu bytes; "
         "taken %zu, busy when full %zu, without disk %zu, by decision %zu; delivered %zu, returned %zu, "
-        "failed %zu\n",
+        "failed %zu; connections reset: fresh %zu, kept %zu after %lld ms idle or more\n",
         clients_->open(), held_.size(), upstream_.out(), upstream_.idle(), notices_.size(),
         journal_.live_bytes(), counts_.taken, counts_.busy_full, counts_.busy_disk, counts_.busy_policy,
-        counts_.delivered, counts_.returned, counts_.failed);
+        counts_.delivered, counts_.returned, counts_.failed, broken.fresh, broken.kept,
+        static_cast<long long>(broken.least_idle / kMs));
     counts_ = {};
     report();
   });
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -66,7 +66,8 @@
     begun_ = steady_now();
     deadline_ = begun_ + call_.timeout;
     if (auto kept = owner_->take(call_.endpoint, call_.address)) {
-      socket_ = std::move(*kept);
+      socket_ = std::move(kept->socket);
+      idle_for_ = begun_ - kept->since;
       arm(deadline_);
       return write();
     }
@@ -186,6 +187,7 @@
     if (outcome == Outcome::kTimeout || outcome == Outcome::kReset || outcome == Outcome::kConnectFailed) {
       owner_->close_idle(call_.endpoint);
     }
+    if (outcome == Outcome::kReset) owner_->count_broken(idle_for_);
     const Time took = steady_now() - begun_;
     if (probe_) return owner_->probed_({call_.endpoint, outcome == Outcome::kOk, took, std::move(report_)});
     AttemptEnded out;
@@ -213,7 +215,8 @@
   bool began_ = false;
   bool written_ = false;
   bool over_ = false;
-  bool idle_ = false;  // the connection may be used again
+  std::optional<Time> idle_for_;  // how long its connection had been idle; none: it is a fresh one
+  bool idle_ = false;             // the connection may be used again
   bool final_ = false;
   Time wait_ = 0;
   std::vector<float> report_;
@@ -265,7 +268,7 @@
   idle_.erase(it);
 }
 
-std::optional<tcp::socket> Upstream::take(const Endpoint& endpoint, const tcp::endpoint& address) {
+std::optional<Upstream::Idle> Upstream::take(const Endpoint& endpoint, const tcp::endpoint& address) {
   const auto it = idle_.find(endpoint);
   if (it == idle_.end()) return {};
   while (!it->second.empty()) {
@@ -275,11 +278,17 @@
     Error gone;
     const bool same = last.socket.remote_endpoint(gone) == address && !gone;
     const bool young = steady_now() - last.since < limits_.idle - kIdleMargin;
-    if (same && young && usable(last.socket)) return std::move(last.socket);
+    if (same && young && usable(last.socket)) return last;
   }
   return {};
 }
 
+void Upstream::count_broken(std::optional<Time> idle_for) {
+  ++(idle_for ? broken_.kept : broken_.fresh);
+  if (!idle_for) return;
+  broken_.least_idle = broken_.kept == 1 ? *idle_for : std::min(broken_.least_idle, *idle_for);
+}
+
 void Upstream::keep(const Endpoint& endpoint, tcp::socket socket) {
   std::vector<Idle>& list = idle_[endpoint];
   if (list.size() >= kMostPerHost || idle_count_ >= limits_.most_idle) return;
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -50,6 +50,13 @@
   size_t out() const { return exchanges_.size(); }
   size_t idle() const { return idle_count_; }
 
+  struct Broken {  // calls that ended as resets
+    size_t fresh = 0;
+    size_t kept = 0;  // on a connection that had been idle
+    Time least_idle = 0;
+  };
+  Broken broken() { return std::exchange(broken_, {}); }  // since it was last asked for
+
  private:
   class Exchange;
   struct Idle {
@@ -57,7 +64,8 @@
     Time since = 0;
   };
 
-  std::optional<tcp::socket> take(const Endpoint& endpoint, const tcp::endpoint& address);
+  std::optional<Idle> take(const Endpoint& endpoint, const tcp::endpoint& address);
+  void count_broken(std::optional<Time> idle_for);
   void keep(const Endpoint& endpoint, tcp::socket socket);
   void start(std::shared_ptr<Exchange> exchange);
   void sweep();
@@ -71,6 +79,7 @@
   boost::asio::steady_timer sweeper_;
   uint64_t last_probe_ = 0;
   size_t idle_count_ = 0;
+  Broken broken_;
   std::map<Endpoint, std::vector<Idle>> idle_;  // the most recently used last
   std::map<std::tuple<bool, uint64_t, int>, std::shared_ptr<Exchange>> exchanges_;
 };
