Take a first line that says 200 as delivered when the rest cannot be read

Answers cut off behind their first line were repeated as resets though the message was delivered; broken answers of another kind counted as proof that it had not run.

--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cctype>
 #include <charconv>
 #include <cmath>
 #include <optional>
@@ -18,6 +19,7 @@
 constexpr Time kSecond = 1'000'000;
 constexpr Time kIdleMargin = kSecond;  // idle connections go so long before the host closes them
 constexpr Time kProbeTimeout = 1500 * 1000;
+constexpr Time kRestOfAnswer = kSecond / 4;  // after its head, which has decided
 constexpr size_t kMostBody = 64 * 1024;
 constexpr size_t kMostPerHost = 64;  // idle
 
@@ -104,7 +106,25 @@
   void give_up(Outcome outcome) {
     if (over_) return;
     if (parser_ && parser_->is_header_done()) return answered(false);
-    finish(written_ ? outcome : Outcome::kConnectFailed);
+    unread(written_ ? outcome : Outcome::kConnectFailed);
+  }
+
+  // An answer that cannot be read may have run, but a first line that says 200 is true.
+  void unread(Outcome outcome) {
+    if (!says_delivered()) return finish(outcome);
+    final_ = true;
+    finish(Outcome::kOk);
+  }
+
+  bool says_delivered() const {
+    if (!parser_) return false;
+    if (parser_->get().result_int() == 200) return true;
+    const auto bytes = buffer_.data();
+    std::string_view line(static_cast<const char*>(bytes.data()), bytes.size());
+    if (!line.starts_with("HTTP/")) return false;
+    line.remove_prefix(std::min(line.find(' '), line.size()));
+    return line.starts_with(" 200") && line.size() > 4 &&
+           std::isspace(static_cast<unsigned char>(line[4])) != 0;
   }
 
   void write() {
@@ -137,21 +157,24 @@
   void read() {
     parser_.emplace();
     parser_->body_limit(kMostBody);
+    parser_->get().result(0u);  // no status until one was read: a fresh response says 200
     http::async_read_header(
         socket_, buffer_, *parser_, [self = shared_from_this()](const Error& error, size_t) {
           if (self->over_) return;
-          if (error) return self->finish(Outcome::kReset);
+          if (error) return self->unread(Outcome::kReset);
+          self->arm(std::min(self->deadline_, steady_now() + kRestOfAnswer));
           http::async_read(self->socket_, self->buffer_, *self->parser_, [self](const Error& failed, size_t) {
             if (!self->over_) self->answered(!failed);
           });
         });
   }
 
-  // The first line decides, also where the rest of the answer is lost.
+  // A 200 decides, also where the rest of the answer is lost; of another answer all must be there to count.
   void answered(bool whole) {
     const auto& answer = parser_->get();
     idle_ = whole && parser_->keep_alive() && buffer_.size() == 0;
     report_ = parse_report(view(answer["X-Load-Report"]), owner_->report_fields_);
+    if (!whole && answer.result_int() != 200) return finish(Outcome::kReset);
     switch (answer.result_int()) {
       case 200:
         final_ = true;
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -67,6 +67,7 @@
   std::string address() const { return "127.0.0.1:" + std::to_string(port()); }
   Request next();  // the next call, on the connection that is open or on a new one
   void answer(const std::string& status, const std::string& headers = "");
+  void say(const std::string& bytes) { ASSERT_TRUE(connection_.send(bytes)); }
   void drop() { connection_.close(); }
   void reset() { connection_.reset(); }
   int connections() const { return connections_; }
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -77,6 +77,34 @@
   EXPECT_EQ(host_.connections(), 1);  // all on one connection
 }
 
+// The first line is true where it says 200; anything else that cannot be read may have run.
+TEST_F(UpstreamTest, BelievesAFirstLineThatSays200) {
+  const auto bytes = [](const std::string& answer, bool drop = true) {
+    return [=](Host& host) {
+      host.next();
+      host.say(answer);
+      if (drop) host.drop();
+    };
+  };
+  for (const std::string rest :
+       {"\r\n", "\r\nno field at all\r\n\r\n", "\r\nContent-Length: x\r\n\r\n",
+        "\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "\r\nContent-Length: 9\r\n\r\nhi", "\n\nhi"}) {
+    const AttemptEnded end = call(bytes("HTTP/1.1 200 OK" + rest));
+    EXPECT_EQ(end.outcome, Outcome::kOk) << rest;
+    EXPECT_TRUE(end.final) << rest;
+  }
+  // The rest never comes: what was said is not held back until the time-out.
+  EXPECT_EQ(call(bytes("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhi", false), 3600'000'000).outcome,
+            Outcome::kOk);
+  for (const std::string answer :
+       {"", "garbage\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", "HTTP/1.1 503 no\r\nContent-Length: 9\r\n\r\nhi",
+        "HTTP/1.1 429 no\r\nno field at all\r\n\r\n"}) {
+    const AttemptEnded end = call(bytes(answer));
+    EXPECT_EQ(end.outcome, Outcome::kReset) << answer;
+    EXPECT_FALSE(end.final) << answer;
+  }
+}
+
 TEST_F(UpstreamTest, ABrokenConnectionAfterTheLastByteIsAReset) {
   EXPECT_EQ(call([](Host& host) {
               host.next();
