--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -161,8 +161,9 @@
   double room = 1;         // mean share of the limit that is left, as reported or from refusals
   bool bound = false;      // a message waited for the pace since the last served call
   int streak = 0;          // calls in a row that were not served
-  int hard = 0;            // of these, failures rather than refusals
+  int hard = 0;            // the last of these that were failures; a refusal between shows that it lives
   Time streak_since = 0;   // when the first of them was sent
+  Time hard_since = 0;     // and the first of those failures
   Time out_since = 0;      // 0: no outage
   bool suspected = false;  // the outage rests on overdue calls alone
   Time back_since = 0;     // first served call after the outage; 0: still out
@@ -491,11 +492,13 @@
     if (attempt.sent < l.last_served_sent) return;
     if (l.streak++ == 0) l.streak_since = attempt.sent;
     if (hard) {
-      ++l.hard;
+      if (l.hard++ == 0) l.hard_since = attempt.sent;
       l.suspected = false;
+    } else {
+      l.hard = 0;
     }
     // Failures after the return start the ramp again; answers to calls from before it tell nothing new.
-    if (l.back_since != 0 && hard && l.streak >= kAgainStreak && attempt.sent > l.back_since) {
+    if (l.back_since != 0 && l.hard >= kAgainStreak && attempt.sent > l.back_since) {
       l.back_since = 0;
       log(l, "fails again");
     }
@@ -550,9 +553,8 @@
         }
         continue;
       }
-      const Time span = now_ - l.streak_since;
-      const bool dead = l.streak >= kDeadStreak && l.hard >= 2 && span >= kDeadSpan;
-      const bool shut = l.streak >= kShutStreak && span >= kShutSpan;
+      const bool dead = l.hard >= kDeadStreak && now_ - l.hard_since >= kDeadSpan;
+      const bool shut = l.streak >= kShutStreak && now_ - l.streak_since >= kShutSpan;
       if (dead || shut) {
         go_out(l, dead ? "calls fail" : "all refused", false);
       } else if (const auto late = overdue.find(&l); late != overdue.end() && late->second >= kOverdue) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -693,5 +693,25 @@
                  ended(Send{98, {1, 80}, 0}, 0, Outcome::kOk), ProbeEnded{{9, 9}, true, 0, {}}});
 }
 
+// Connections break now and then at a destination that is above its limit: it is up all the while.
+TEST(Outage, ARefusalBetweenFailuresShowsThatTheDestinationLives) {
+  for (const Outcome between : {Outcome::kReset, Outcome::kFull}) {
+    Relay relay(plain_settings());
+    relay.step(0, {members({member(1)})});
+    size_t lines = 0;
+    Time now = 0;
+    for (const Outcome outcome : {Outcome::kReset, between, Outcome::kReset}) {
+      now += kSecond / 2;
+      const Arrival message = relay.message(static_cast<uint64_t>(now), now, 1);
+      for (const Send& send : all_of<Send>(relay.step(now, {message}))) {
+        if (send.id != message.id) continue;
+        const Time wait = outcome == Outcome::kFull ? 1000 : 0;
+        lines += all_of<Log>(relay.step(now + 100'000, {ended(send, 0, outcome, 100'000, wait)})).size();
+      }
+    }
+    EXPECT_EQ(lines == 0, between == Outcome::kFull);
+  }
+}
+
 }  // namespace
 }  // namespace firspool::testing
