--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -389,7 +389,7 @@
           l.wait_until = std::max(l.wait_until, now_ + e.wait + set_.tick + random_.between(0, kPauseMost));
         }
         if (e.wait == 0) narrow(attempt, l);
-        return unserved(attempt, l, false, e.wait > 0);
+        return unserved(attempt, l, false, e.wait);
       case Outcome::kError:
       case Outcome::kReset:
       case Outcome::kTimeout:
@@ -400,7 +400,7 @@
           learn_latency(d, e.took);
         }
         if (e.outcome != Outcome::kError) avoid(host);
-        return unserved(attempt, l, true, false);
+        return unserved(attempt, l, true, 0);
       case Outcome::kCancelled:
       case Outcome::kMoot:
         return;
@@ -486,7 +486,7 @@
     }
   }
 
-  void unserved(const Attempt& attempt, Lane& l, bool hard, bool told) {
+  void unserved(const Attempt& attempt, Lane& l, bool hard, Time told) {
     watch(l);
     // A call sent later was served: this one was lost, or its endpoint is bad, but the destination is up.
     if (attempt.sent < l.last_served_sent) return;
@@ -502,8 +502,9 @@
       l.back_since = 0;
       log(l, "fails again");
     }
-    // A wait longer than a limit's span tells when a shut destination opens: its return begins there.
-    if (told && l.out_since == 0 && l.wait_until - l.streak_since > kShutSpan) {
+    // A wait longer than a limit's span tells when a shut destination opens: its return begins there. Several
+    // shorter ones in a row are a limit's, at a destination that others use too.
+    if (told > kShutSpan && l.out_since == 0) {
       go_out(l, "told to wait long", false);
       l.back_since = l.cold.at = l.wait_until;
     }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -713,5 +713,25 @@
   }
 }
 
+// Told waits of a limit, one after the other, are no sign of a shut destination; one long wait is.
+TEST(Outage, OnlyOneLongWaitTellsOfAShutDestination) {
+  for (const Time wait : {kSecond, 4 * kSecond}) {
+    Relay relay(plain_settings());
+    relay.step(0, {members({member(1)})});
+    size_t lines = 0;
+    Time now = 0;
+    std::vector<Event> events = {relay.message(1, now)};
+    for (int attempt = 0; attempt < 2; ++attempt) {
+      const auto sends = all_of<Send>(relay.step(now, events));
+      if (sends.empty()) break;
+      const AttemptEnded end = ended(sends[0], attempt, Outcome::kFull, 100'000, wait);
+      lines += all_of<Log>(relay.step(now + 100'000, {end})).size();
+      now += wait + kSecond / 2;
+      events.clear();
+    }
+    EXPECT_EQ(lines == 0, wait == kSecond);
+  }
+}
+
 }  // namespace
 }  // namespace firspool::testing
