Forget hosts that left the list, so that nothing grows with replacements

Each replaced host stayed in the directory, in the module and in its choice of endpoint for the length of the process; the relay's own handles did too.

--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -4,10 +4,13 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <utility>
 
 namespace firspool::relay {
 namespace {
 
+constexpr size_t kMostGone = 128;  // known still, for what their last calls answer
+
 int index_of(const std::vector<std::string>& names, const std::string& name) {
   return static_cast<int>(std::find(names.begin(), names.end(), name) - names.begin());
 }
@@ -52,23 +55,41 @@
   if (list.revision < revision_ || (list.revision == revision_ && !list.complete)) return {};
   revision_ = list.revision;
   if (list.complete) {
-    for (auto& [handle, host] : hosts_) host.member.listing = Listing::kGone;
+    for (auto& [handle, host] : hosts_) {
+      if (std::exchange(host.member.listing, Listing::kGone) != Listing::kGone) gone_.push_back(handle);
+    }
   }
   auto members = std::make_shared<std::vector<Member>>();
   for (const ListedHost& listed : list.hosts) {
-    const auto next = static_cast<uint32_t>(handles_.size() + 1);
-    const Endpoint handle = handles_.try_emplace(listed.id, Endpoint{next, 0}).first->second;
+    const auto [place, fresh] = handles_.try_emplace(listed.id, Endpoint{last_handle_ + 1, 0});
+    if (fresh) ++last_handle_;
+    const Endpoint handle = place->second;
     ListedHost& host = hosts_[handle];
+    const bool was_gone = !fresh && host.member.listing == Listing::kGone;
     host = listed;
     host.member.endpoint = handle;
+    if (host.member.listing == Listing::kGone && !was_gone) gone_.push_back(handle);
     members->push_back(host.member);
   }
+  forget();
   MembersChanged out;
   out.form = list.complete ? MembersChanged::Form::kFull : MembersChanged::Form::kDelta;
   out.members = std::move(members);
   return out;
 }
 
+// Hosts are replaced all day long: those that left longest ago make room. One that was listed again stays,
+// and is entered anew when it leaves.
+void Directory::forget() {
+  while (gone_.size() > kMostGone) {
+    const auto host = hosts_.find(gone_.front());
+    gone_.pop_front();
+    if (host == hosts_.end() || host->second.member.listing != Listing::kGone) continue;
+    handles_.erase(host->second.id);
+    hosts_.erase(host);
+  }
+}
+
 const ListedHost* Directory::find(const Endpoint& endpoint) const {
   const auto it = hosts_.find(endpoint);
   return it == hosts_.end() ? nullptr : &it->second;
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
@@ -53,9 +54,13 @@
   const std::map<Endpoint, ListedHost>& hosts() const { return hosts_; }
 
  private:
+  void forget();
+
   int64_t revision_ = -1;
+  uint32_t last_handle_ = 0;
   std::map<std::string, Endpoint> handles_;
   std::map<Endpoint, ListedHost> hosts_;
+  std::deque<Endpoint> gone_;  // in the order in which they left
 };
 
 }  // namespace firspool::relay
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -180,6 +180,7 @@
   Member member;
   Lane* lane = nullptr;
   bool ready = false;
+  bool gone = false;  // left the list: forgotten once no call is out
   int calls = 0;
   int conns = 0;
   Time last_used = 0;
@@ -220,6 +221,7 @@
     for (const Event& event : events) {
       std::visit([this](const auto& e) { fold(e); }, event);
     }
+    forget_gone();
     std::erase_if(key_rests_, [now](const auto& rest) { return rest.second.first <= now; });
     wake_ = kNever;
     keep_watching();
@@ -243,7 +245,10 @@
     }
     if (watching_) watch_pause_ = kSecond / 4;
     if (e.form == MembersChanged::Form::kFull) {
-      for (auto& [id, host] : hosts_) host.ready = false;
+      for (auto& [id, host] : hosts_) {
+        host.ready = false;
+        host.gone = true;
+      }
     }
     if (!e.members) return;
     for (const Member& m : *e.members) {
@@ -251,6 +256,7 @@
       host.member = m;
       host.lane = &lane_of(m);
       host.ready = m.listing == Listing::kReady;
+      host.gone = m.listing == Listing::kGone;
       by_destination_[m.destination][m.endpoint] = &host;
       Destination& d = destinations_[m.destination];
       d.kind = m.kind;
@@ -259,6 +265,15 @@
     }
   }
 
+  void forget_gone() {
+    std::erase_if(hosts_, [this](const auto& entry) {
+      const Host& host = entry.second;
+      if (!host.gone || host.calls > 0) return false;
+      by_destination_[host.member.destination].erase(entry.first);
+      return true;
+    });
+  }
+
   void fold(const Arrival& e) {
     if (e.message_class < 0 || e.message_class >= static_cast<int>(set_.classes.size())) {
       throw std::invalid_argument("unknown class of message " + std::to_string(e.id));
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -75,6 +75,22 @@
   EXPECT_FALSE(directory.active(old));
 }
 
+// Hosts that are replaced all day long must not be kept all day long.
+TEST(Directory, ForgetsHostsThatLeftLongAgo) {
+  const ListNames names{{"a"}, {"std"}};
+  Directory directory;
+  for (int i = 0; i < 2000; ++i) {
+    std::vector<nlohmann::json> changes = {testing::member_json("s-" + std::to_string(i), "127.0.0.1:80", 7)};
+    if (i > 0) {
+      changes.push_back(testing::member_json("s-" + std::to_string(i - 1), "127.0.0.1:80", 7, "left"));
+    }
+    const auto change = directory.apply(parse_list(testing::list_json(i + 1, i == 0, changes), names));
+    ASSERT_TRUE(change);
+    EXPECT_TRUE(directory.active(change->members->front().endpoint));
+    ASSERT_LT(directory.hosts().size(), 200u);
+  }
+}
+
 class JournalTest : public ::testing::Test {
  protected:
   JournalTest() {
