Use the disk that was told: take messages on until nearly all of a file is used

Two files of 0.48 of the disk fit while one is compacted; the rest of a file need only be room between two compactions.

--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -13,9 +13,9 @@
 namespace firspool::relay {
 namespace {
 
-constexpr double kFilePart = 0.42;    // of the disk: the old and the new file together stay well under it
-constexpr double kAcceptPart = 0.75;  // of the file: the rest is for the records that follow
-constexpr size_t kReserve = 512;      // for a message's attempts and its end
+constexpr double kFilePart = 0.48;    // of the disk: the old and the new file together stay under it
+constexpr double kAcceptPart = 0.95;  // of the file: the rest is room between two compactions
+constexpr size_t kReserve = 384;      // for a message's attempts and its end, beside those that are written
 constexpr size_t kHeader = 8;         // length and checksum
 
 enum Kind : char { kAccepted = 'A', kAttempt = 'T', kNeverRan = 'N', kOwed = 'O', kDone = 'D', kFact = 'F' };
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -176,6 +176,20 @@
   EXPECT_EQ(journal.recovered().front().attempts, 1);
 }
 
+// Two files of the size that was told must fit while it is compacted; nearly all of one is for messages.
+TEST_F(JournalTest, TakesMessagesUntilItsPartOfTheDiskIsUsed) {
+  constexpr size_t kDisk = 3'000'000;
+  Journal journal(folder_, kDisk);
+  size_t taken = 0;
+  while (journal.accepted(message("m" + std::to_string(taken), 600), 1)) ++taken;
+  EXPECT_GT(taken * 600, kDisk / 4);
+  for (size_t i = 0; i < taken; ++i) {
+    const std::string id = "m" + std::to_string(i);
+    for (int attempt = 0; attempt < 4; ++attempt) ASSERT_TRUE(journal.attempt(id, attempt, 1, 0)) << i;
+    ASSERT_LE(2 * std::filesystem::file_size(folder_ / "journal"), kDisk);
+  }
+}
+
 TEST_F(JournalTest, RemembersTheLastValueOfAName) {
   constexpr size_t kDisk = 200'000;
   {
