Share the descriptors out by the told limits, and serve the backlog when the relay ends

At the end, requests in the backlog or in the sockets were reset unread: they are served, and the process stays until they are answered.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -242,15 +242,19 @@
       });
       return;
     }
-    boost::system::error_code ignored;
-    socket.set_option(tcp::no_delay(true), ignored);
-    auto session = std::make_shared<Session>(*this, std::move(socket));
-    session->place = sessions_.insert(sessions_.end(), session);
-    session->begin();
+    admit(std::move(socket));
     accept();
   });
 }
 
+void Clients::admit(tcp::socket socket) {
+  boost::system::error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  auto session = std::make_shared<Session>(*this, std::move(socket));
+  session->place = sessions_.insert(sessions_.end(), session);
+  session->begin();
+}
+
 void Clients::forget(std::list<std::shared_ptr<Session>>::iterator place) {
   sessions_.erase(place);
   accept();
@@ -259,6 +263,13 @@
 void Clients::finish() {
   finishing_ = true;
   boost::system::error_code ignored;
+  acceptor_.cancel(ignored);
+  // What waits in the backlog would be reset with its request unread: it is served too.
+  acceptor_.non_blocking(true, ignored);
+  boost::system::error_code none;
+  for (tcp::socket next = acceptor_.accept(io_, none); !none; next = acceptor_.accept(io_, none)) {
+    admit(std::move(next));
+  }
   acceptor_.close(ignored);
   pause_.cancel();
   for (const auto& session : sessions_) session->finish();
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -34,6 +34,7 @@
   class Session;
 
   void accept();
+  void admit(tcp::socket socket);
   void forget(std::list<std::shared_ptr<Session>>::iterator place);
 
   boost::asio::io_context& io_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -20,11 +20,22 @@
 constexpr Time kFirstWord = 300 * kMs;  // discovery answers at once, unless it is down
 constexpr Time kTransit = 2 * kMs;      // a message's time runs from its client's sending
 
+// Descriptors are shared out so that no side starves another: the relay's own, the calls that may be out,
+// idle connections to hosts; clients and peers that only keep a place have the rest.
+constexpr size_t kOwnDescriptors = 24;
+
+size_t most_idle(const Config& config) { return config.sockets / 6; }
+
+size_t most_clients(const Config& config) {
+  const size_t others = kOwnDescriptors + static_cast<size_t>(config.settings.slots) + most_idle(config);
+  return std::max(config.sockets / 3, config.sockets - std::min(others, config.sockets));
+}
+
 Upstream::Limits upstream_limits(const Config& config) {
   Upstream::Limits out;
   out.connect_timeout = config.settings.connect_timeout;
   out.idle = config.settings.conn_idle;
-  out.most_idle = config.sockets / 4;
+  out.most_idle = most_idle(config);
   return out;
 }
 
@@ -120,7 +131,7 @@
 void Relay::open() {
   if (clients_ || stopping_since_ != 0) return;
   resume();
-  clients_.emplace(io_, config_.listen, config_.sockets / 2, [this](Handed handed, Clients::Answer answer) {
+  clients_.emplace(io_, config_.listen, most_clients(config_), [this](Handed handed, Clients::Answer answer) {
     put(std::move(handed), std::move(answer));
   });
   listening_(clients_->address());
@@ -402,7 +413,7 @@
     closed_ = true;
     if (clients_) clients_->finish();
   }
-  const bool idle = held_.empty() && notices_.empty();
+  const bool idle = held_.empty() && notices_.empty() && (!clients_ || clients_->open() == 0);
   if (age >= kLastCall || (closed_ && idle)) return io_.stop();
   stop_timer_.expires_after(std::chrono::microseconds(kStopPoll));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -328,6 +328,20 @@
   EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
 }
 
+// A request in the backlog of a relay that ends would be lost with its connection.
+TEST(Program, ServesTheBacklogBeforeItEnds) {
+  Stage s;
+  s.config["limits"]["sockets"] = 64;
+  Program small(s.config);
+  small.start();
+  std::vector<Socket> quiet;
+  for (int i = 0; i < 50; ++i) quiet.push_back(small.client());
+  Socket client = small.client();
+  client.send(put_bytes("00000000000000a1", facts("unsafe")));
+  small.signal(SIGTERM);
+  EXPECT_EQ(client.line(), "+OK");
+}
+
 TEST(Program, FollowsDiscoveryToItsNewAddress) {
   Stage s;
   s.program.start();
