--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -722,7 +722,21 @@
   Time last_moment(const Message& m) const { return m.in.due - 2 * set_.tick; }
 
   void give_up(uint64_t id, const Message& m) {
-    out_->push_back(refusable(m) ? Action{Refuse{id, 0}} : Action{Fail{id}});
+    out_->push_back(refusable(m) ? Action{Refuse{id, come_again(m)}} : Action{Fail{id}});
+  }
+
+  // When a client should come again: once what waits for its destination now should be served and a told wait
+  // is over. Not told where the settings do not let it be heard, or where its time would be over by then.
+  Time come_again(const Message& m) const {
+    const auto lane = lanes_.find({m.in.destination, Endpoint{}});
+    if (!set_.retry_after_heard || lane == lanes_.end()) return 0;
+    const auto ahead = std::count_if(messages_.begin(), messages_.end(), [&](const auto& other) {
+      return other.second.in.destination == m.in.destination && !other.second.out;
+    });
+    const double rate = std::max(lane->second.served.per_second(now_), 1 / seconds(longest_));
+    const Time served = micros(static_cast<double>(ahead) / rate);
+    const Time after = std::min(std::max(served, lane->second.wait_until - now_), set_.max_retry_after);
+    return now_ + after < m.in.due ? after : 0;
   }
 
   void settle() {
@@ -752,7 +766,7 @@
     std::sort(least.begin(), least.end());
     for (const auto& [worth, id] : least) {
       if (messages_.size() <= room) break;
-      out_->push_back(Refuse{id, 0});
+      out_->push_back(Refuse{id, come_again(messages_.at(id))});
       end(id);
     }
   }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -733,5 +733,22 @@
   }
 }
 
+TEST(Refusal, TellsWhenToComeAgainWhereThatIsHeard) {
+  for (const bool heard : {true, false}) {
+    Settings settings = plain_settings();
+    settings.max_attempts = 1;
+    settings.retry_after_heard = heard;
+    settings.max_retry_after = 3 * kSecond;
+    Relay relay(settings);
+    relay.step(0, {members({member(1)})});
+    const auto sends = all_of<Send>(relay.step(0, {relay.message(1, 0)}));
+    ASSERT_EQ(sends.size(), 1u);
+    const auto refused =
+        all_of<Refuse>(relay.step(100'000, {ended(sends[0], 0, Outcome::kFull, 100'000, kSecond)}));
+    ASSERT_EQ(refused.size(), 1u);  // at once
+    EXPECT_EQ(refused[0].retry_after >= kSecond && refused[0].retry_after <= 3 * kSecond, heard);
+  }
+}
+
 }  // namespace
 }  // namespace firspool::testing
