Answer the operator: STATUS and METRICS at an address of their own

The status line reads the same counts. What a host said is over without having been delivered was counted as delivered and counts as failed now. A test of the figures and one of full places, both red without the address.

--- a/include/firspool/policy.h
+++ b/include/firspool/policy.h
@@ -243,8 +243,12 @@
   DestinationMemory memory;
 };
 
-using Action =
-    std::variant<Send, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, WatchList, TellPeers, Log, Remember>;
+struct Avoided {  // so many listed endpoints are passed over now: draining, failing, or in an outage
+  size_t endpoints = 0;
+};
+
+using Action = std::variant<Send, Refuse, Fail, Cancel, Probe, CloseIdle, SetTimer, WatchList, TellPeers, Log,
+                            Remember, Avoided>;
 
 class Policy {
  public:
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -52,6 +52,7 @@
   out.name = root.at("name").get<std::string>();
   out.listen = parse_address(root.at("listen").get<std::string>());
   out.discovery = parse_address(root.at("discovery").get<std::string>());
+  if (root.contains("operator")) out.operator_address = parse_address(root["operator"].get<std::string>());
   out.seed = std::stoull(root.at("seed").get<std::string>(), nullptr, 16);
   const json& limits = root.at("limits");
   out.sockets = limits.at("sockets").get<size_t>();
@@ -74,7 +75,12 @@
   const std::string state = needed("PROXY_STATE");
   std::ifstream file(path, std::ios::binary);
   if (!file) throw std::invalid_argument("cannot read " + path);
-  return parse_config({std::istreambuf_iterator<char>(file), {}}, state);
+  Config out = parse_config({std::istreambuf_iterator<char>(file), {}}, state);
+  // Two processes may share the file during an upgrade: what the environment says is this one's own.
+  if (const char* own = std::getenv("PROXY_OPERATOR"); own != nullptr && *own != '\0') {
+    out.operator_address = parse_address(own);
+  }
+  return out;
 }
 
 }  // namespace firspool::relay
--- a/relay/config.h
+++ b/relay/config.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,7 +15,8 @@
   std::string name;
   tcp::endpoint listen;
   tcp::endpoint discovery;
-  std::string state;  // the folder that lasts
+  std::optional<tcp::endpoint> operator_address;  // none: nobody asks
+  std::string state;                              // the folder that lasts
   uint64_t seed = 0;
   size_t sockets = 1024;
   size_t disk_bytes = 0;
--- /dev/null
+++ b/relay/figures.h
@@ -0,0 +1,67 @@
+// The relay's counts, by class and since the process began. Each has one owner, this; the operator's figures
+// and the log's status line both read them.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "firspool/policy.h"
+
+namespace firspool::relay {
+
+class Figures {
+ public:
+  struct Levels {  // as they are now, counted where they are kept
+    size_t in_flight = 0;
+    size_t known = 0;
+    size_t excluded = 0;
+  };
+  enum class Busy { kFull, kDisk, kDecision };  // why a message was not taken on
+
+  explicit Figures(const std::vector<ClassSettings>& classes) { show(classes); }
+
+  // These show from now on, at 0 if they are new.
+  void show(const std::vector<ClassSettings>& classes);
+  // No longer a class, and nothing of it is left open.
+  void forget(const std::string& name) { classes_.erase(name); }
+
+  void taken() { ++totals_.taken; }
+  void busy(const std::string& name, Busy reason);
+  void attempt(const std::string& name) { ++classes_[name].attempts; }
+  void served(const std::string& name);
+  void returned(const std::string& name);
+  void failed(const std::string& name);
+  void reloaded(bool ok) { ++(ok ? reloads_ok_ : reloads_failed_); }
+
+  // One figure a line.
+  std::string text(const Levels& levels) const;
+  // The totals as part of a log line, counted since it was last asked for.
+  std::string since_last();
+
+ private:
+  struct Class {
+    uint64_t served = 0;
+    uint64_t refused = 0;
+    uint64_t failed = 0;
+    uint64_t attempts = 0;
+  };
+  struct Totals {
+    uint64_t taken = 0;
+    uint64_t busy_full = 0;
+    uint64_t busy_disk = 0;
+    uint64_t busy_decision = 0;
+    uint64_t served = 0;
+    uint64_t returned = 0;
+    uint64_t failed = 0;
+  };
+
+  std::map<std::string, Class> classes_;
+  Totals totals_;
+  Totals reported_;
+  uint64_t reloads_ok_ = 0;
+  uint64_t reloads_failed_ = 0;
+};
+
+}  // namespace firspool::relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -27,7 +27,9 @@
 size_t most_idle(const Config& config) { return config.sockets / 6; }
 
 size_t most_clients(const Config& config) {
-  const size_t others = kOwnDescriptors + static_cast<size_t>(config.settings.slots) + most_idle(config);
+  const size_t asked = config.operator_address ? Operator::kDescriptors : 0;
+  const size_t others =
+      kOwnDescriptors + asked + static_cast<size_t>(config.settings.slots) + most_idle(config);
   return std::max(config.sockets / 3, config.sockets - std::min(others, config.sockets));
 }
 
@@ -59,13 +61,14 @@
       config_(config),
       journal_(config.state, config.disk_bytes),
       policy_(config.settings, config.seed),
+      figures_(config.settings.classes),
       wake_timer_(io),
       stop_timer_(io),
       report_timer_(io),
       notices_(io, config.discovery, [this](const std::string& id) { journal_.done(id); }),
       upstream_(
           io, upstream_limits(config), config.report_fields,
-          [this](const Call& call) { return may_start(call); },
+          [this](const Call& call) { return may_start(call); }, [this](const Call& call) { written(call); },
           [this](const AttemptEnded& end, bool began) { ended(end, began); },
           [this](const ProbeEnded& end) { happened(end); }),
       watch_(
@@ -74,6 +77,9 @@
           [this](const HostList& list) { told(list); }, [this] { open(); }),
       listening_(std::move(listening)),
       open_timer_(io) {
+  if (config.operator_address) {
+    operator_.emplace(io, *config.operator_address, [this](const std::string& call) { return reply(call); });
+  }
   told(config_.known);
   recall();
   open_timer_.expires_after(std::chrono::microseconds(kFirstWord));
@@ -144,16 +150,12 @@
   report_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
     const Upstream::Broken broken = upstream_.broken();
-    std::fprintf(
-        stderr,
-        "status: clients %zu, held %zu, calls %zu, idle connections %zu, notices %zu, journal %zu bytes; "
-        "taken %zu, busy when full %zu, without disk %zu, by decision %zu; delivered %zu, returned %zu, "
-        "failed %zu; connections reset: fresh %zu, kept %zu after %lld ms idle or more\n",
-        clients_->open(), held_.size(), upstream_.out(), upstream_.idle(), notices_.size(),
-        journal_.live_bytes(), counts_.taken, counts_.busy_full, counts_.busy_disk, counts_.busy_policy,
-        counts_.delivered, counts_.returned, counts_.failed, broken.fresh, broken.kept,
-        static_cast<long long>(broken.least_idle / kMs));
-    counts_ = {};
+    std::fprintf(stderr,
+                 "status: clients %zu, held %zu, calls %zu, idle connections %zu, notices %zu, journal %zu "
+                 "bytes; %s; connections reset: fresh %zu, kept %zu after %lld ms idle or more\n",
+                 clients_->open(), held_.size(), upstream_.out(), upstream_.idle(), notices_.size(),
+                 journal_.live_bytes(), figures_.since_last().c_str(), broken.fresh, broken.kept,
+                 static_cast<long long>(broken.least_idle / kMs));
     report();
   });
 }
@@ -201,7 +203,7 @@
   const int tenant = tenant_of(handed.tenant);
   if (tenant < 0) return answer("-ERR unknown tenant");
   if (held_.size() >= static_cast<size_t>(config_.settings.max_open)) {
-    ++counts_.busy_full;
+    figures_.busy(handed.message_class, Figures::Busy::kFull);
     return answer("-BUSY");
   }
   const uint64_t number = ++last_number_;
@@ -244,6 +246,22 @@
   return journal_.attempt(held->second.handed.id, call.attempt, wall_now(), host->member.zone);
 }
 
+void Relay::written(const Call& call) {
+  const auto held = held_.find(call.id);
+  if (held != held_.end()) figures_.attempt(held->second.handed.message_class);
+}
+
+// What the operator asks, with whole lines for a reply.
+std::string Relay::reply(const std::string& call) const {
+  if (call == "STATUS") return clients_ && stopping_since_ == 0 ? "OK serving\n" : "ERR not serving\n";
+  if (call != "METRICS") return "ERR unknown call\n";
+  const auto& hosts = directory_.hosts();
+  const auto listed = std::count_if(hosts.begin(), hosts.end(), [](const auto& entry) {
+    return entry.second.member.listing != Listing::kGone;
+  });
+  return "OK\n" + figures_.text({held_.size(), static_cast<size_t>(listed), avoided_}) + "END\n";
+}
+
 void Relay::ended(const AttemptEnded& end, bool began) {
   const bool never = end.outcome == Outcome::kFull || end.outcome == Outcome::kConnectFailed ||
                      end.outcome == Outcome::kMoot;
@@ -255,7 +273,7 @@
   }
   if (held != held_.end()) {
     if (end.final) {
-      finish(end.id, {});
+      finish(end.id, {}, end.outcome == Outcome::kOk);
     } else if (began && never) {
       journal_.never_ran(held->second.handed.id, end.attempt);
     }
@@ -284,14 +302,13 @@
 // A message is the relay's from the moment that its record is written; only then its client is told, and only
 // then it may be sent.
 void Relay::answer_pending(const std::vector<Action>& actions) {
-  std::map<uint64_t, std::string> turned_away;
+  std::map<uint64_t, const Action*> turned_away;
   if (!pending_.empty()) {
     for (const Action& action : actions) {
       if (const auto* refuse = std::get_if<Refuse>(&action)) {
-        const Time ms = (refuse->retry_after + kMs - 1) / kMs;
-        turned_away[refuse->id] = ms > 0 ? "-BUSY " + std::to_string(ms) : "-BUSY";
+        turned_away[refuse->id] = &action;
       } else if (const auto* fail = std::get_if<Fail>(&action)) {
-        turned_away[fail->id] = "-ERR failed";
+        turned_away[fail->id] = &action;
       }
     }
   }
@@ -303,15 +320,21 @@
     const Handed& handed = held->second.handed;
     std::string line = "+OK";
     if (const auto away = turned_away.find(item.number); away != turned_away.end()) {
-      line = away->second;
-      ++counts_.busy_policy;
+      if (const auto* refuse = std::get_if<Refuse>(away->second)) {
+        const Time ms = (refuse->retry_after + kMs - 1) / kMs;
+        line = ms > 0 ? "-BUSY " + std::to_string(ms) : "-BUSY";
+        figures_.busy(handed.message_class, Figures::Busy::kDecision);
+      } else {
+        line = "-ERR failed";
+        figures_.failed(handed.message_class);
+      }
     } else if (!journal_.accepted(handed, wall_now() + held->second.due - steady_now())) {
       line = "-BUSY";  // no room on the disk
-      ++counts_.busy_disk;
+      figures_.busy(handed.message_class, Figures::Busy::kDisk);
       happened(Withdrawn{item.number});
     }
     if (line == "+OK") {
-      ++counts_.taken;
+      figures_.taken();
     } else {
       numbers_.erase(handed.id);
       held_.erase(held);
@@ -360,20 +383,28 @@
     wakes_.insert(timer->at);
   } else if (const auto* memory = std::get_if<Remember>(&action)) {
     remember(memory->memory);
+  } else if (const auto* avoided = std::get_if<Avoided>(&action)) {
+    avoided_ = avoided->endpoints;
   } else if (const auto* log = std::get_if<Log>(&action)) {
     std::fprintf(stderr, "%s\n", log->text.c_str());
   }
 }
 
-// The message is over; with a notice, that is still owed.
-void Relay::finish(uint64_t number, std::optional<Notice> notice) {
+// The message is over; with a notice, that is still owed. Neither served nor noticed: a host said it is over.
+void Relay::finish(uint64_t number, std::optional<Notice> notice, bool served) {
   const auto held = held_.find(number);
+  const std::string& name = held->second.handed.message_class;
+  if (served) {
+    figures_.served(name);
+  } else if (notice && notice->returned) {
+    figures_.returned(name);
+  } else {
+    figures_.failed(name);
+  }
   if (notice) {
-    ++(notice->returned ? counts_.returned : counts_.failed);
     journal_.owed(*notice);
     notices_.add(std::move(*notice));
   } else {
-    ++counts_.delivered;
     journal_.done(held->second.handed.id);
   }
   numbers_.erase(held->second.handed.id);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -16,7 +16,9 @@
 #include "config.h"
 #include "directory.h"
 #include "discovery.h"
+#include "figures.h"
 #include "journal.h"
+#include "operator.h"
 #include "upstream.h"
 
 namespace firspool::relay {
@@ -45,16 +47,6 @@
     Clients::Answer answer;
   };
 
-  struct Counts {  // since the last report
-    size_t taken = 0;
-    size_t busy_full = 0;  // turned away: max_open messages are held
-    size_t busy_disk = 0;  // turned away: no room in the journal
-    size_t busy_policy = 0;
-    size_t delivered = 0;
-    size_t returned = 0;
-    size_t failed = 0;
-  };
-
   void recall();
   void open();
   void resume();
@@ -64,12 +56,14 @@
   void put(Handed handed, Clients::Answer answer);
   void told(const HostList& list);
   bool may_start(const Call& call);
+  void written(const Call& call);
+  std::string reply(const std::string& call) const;
   void ended(const AttemptEnded& end, bool began);
   void happened(Event event);
   void step();
   void answer_pending(const std::vector<Action>& actions);
   void carry_out(const Action& action);
-  void finish(uint64_t number, std::optional<Notice> notice);
+  void finish(uint64_t number, std::optional<Notice> notice, bool served = false);
   void arm();
   void wait_for_end();
   void report();
@@ -80,6 +74,9 @@
   Directory directory_;
   Journal journal_;
   Policy policy_;
+  Figures figures_;
+  size_t avoided_ = 0;  // listed hosts that the module passes over
+  std::optional<Operator> operator_;
   std::vector<Event> events_;
   std::vector<Pending> pending_;
   bool step_posted_ = false;
@@ -91,7 +88,6 @@
   boost::asio::steady_timer wake_timer_;
   boost::asio::steady_timer stop_timer_;
   boost::asio::steady_timer report_timer_;
-  Counts counts_;
   Time stopping_since_ = 0;  // 0: not stopping
   bool closed_ = false;      // clients were let go
   Notices notices_;
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -150,6 +150,7 @@
       if (self->over_) return;
       if (error) return self->finish(Outcome::kConnectFailed);
       self->written_ = true;
+      if (!self->probe_) self->owner_->on_written_(self->call_);
       self->read();
     });
   }
@@ -246,11 +247,12 @@
 };
 
 Upstream::Upstream(boost::asio::io_context& io, Limits limits, std::vector<std::string> report_fields,
-                   MayStart may_start, Ended ended, Probed probed)
+                   MayStart may_start, Written written, Ended ended, Probed probed)
     : io_(io),
       limits_(limits),
       report_fields_(std::move(report_fields)),
       may_start_(std::move(may_start)),
+      on_written_(std::move(written)),
       ended_(std::move(ended)),
       probed_(std::move(probed)),
       sweeper_(io) {
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -37,10 +37,11 @@
   // Asked right before a call's first byte: a call that may no longer start ends as kMoot.
   using MayStart = std::function<bool(const Call&)>;
   using Ended = std::function<void(const AttemptEnded&, bool began)>;  // began: MayStart allowed it
+  using Written = std::function<void(const Call&)>;                    // the call's last byte was written
   using Probed = std::function<void(const ProbeEnded&)>;
 
   Upstream(boost::asio::io_context& io, Limits limits, std::vector<std::string> report_fields,
-           MayStart may_start, Ended ended, Probed probed);
+           MayStart may_start, Written written, Ended ended, Probed probed);
   ~Upstream();
 
   void call(Call call);
@@ -74,6 +75,7 @@
   Limits limits_;
   std::vector<std::string> report_fields_;
   MayStart may_start_;
+  Written on_written_;
   Ended ended_;
   Probed probed_;
   boost::asio::steady_timer sweeper_;
--- a/sim/wire.cpp
+++ b/sim/wire.cpp
@@ -210,6 +210,7 @@
     put_text(out, a.bytes);
   }
   void operator()(const Remember&) const {}
+  void operator()(const Avoided&) const {}
   void operator()(const Log& a) const {
     put<uint8_t>(out, 10);
     put_text(out, a.text);
@@ -319,11 +320,13 @@
 }
 
 void Encoder::actions(int instance, std::span<const Action> actions) {
-  const auto kept = [](const Action& action) { return std::holds_alternative<Remember>(action); };
+  const auto kept = [](const Action& action) {  // nothing outlasts a simulated relay, and nobody asks it
+    return std::holds_alternative<Remember>(action) || std::holds_alternative<Avoided>(action);
+  };
   if (std::all_of(actions.begin(), actions.end(), kept)) return;
   speaking(instance);
   for (const Action& action : actions) {
-    if (std::holds_alternative<Remember>(action)) continue;  // nothing outlasts a simulated relay
+    if (kept(action)) continue;
     std::visit(ActionWriter{body_}, action);
     ++records_;
   }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <stdexcept>
+#include <utility>
 
 namespace firspool {
 namespace {
@@ -230,6 +231,7 @@
     dispatch();
     shed();
     remember();
+    tell_avoided();
     arm();
   }
 
@@ -687,6 +689,18 @@
     return false;
   }
 
+  void tell_avoided() {
+    size_t count = 0;
+    for (const auto& [endpoint, host] : hosts_) {
+      if (host.gone) continue;
+      const bool out = host.lane->out_since != 0 && host.lane->back_since == 0;
+      count += !host.ready || out || host.avoid_until > now_;
+      wake(host.avoid_until);
+    }
+    if (count == std::exchange(avoided_, count)) return;
+    out_->push_back(Avoided{count});
+  }
+
   // ---- Answers that are due ----
 
   void end(uint64_t id) {
@@ -999,6 +1013,7 @@
   Time keep_ = kSecond * 3600;
   Time keep_at_ = 0;
   double hope_ = 2 * kHopeLeast;  // share of the calls past the suspicious age that are served after all
+  size_t avoided_ = 0;            // as it was told last
   Time idle_ = 0;                 // how long the connection of the last call had been idle
   std::map<int, Kind> kinds_;
   std::map<uint64_t, Message> messages_;
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -32,6 +32,9 @@
 
   static Socket listen();
   static Socket connect(uint16_t port);
+  static Socket connect(const std::string& address) {  // HOST:PORT, on loopback
+    return connect(static_cast<uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))));
+  }
   Socket accept() const;
 
   bool open() const { return fd_ >= 0; }
@@ -105,6 +108,9 @@
   std::thread acceptor_;
 };
 
+// An address that was free a moment ago.
+inline std::string free_address() { return "127.0.0.1:" + std::to_string(Socket::listen().port()); }
+
 nlohmann::json member_json(const std::string& id, const std::string& address, int cell,
                            const std::string& phase = "active");
 nlohmann::json list_json(int revision, bool complete, std::vector<nlohmann::json> members);
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -364,6 +364,94 @@
   EXPECT_EQ(moved.notice(), nlohmann::json({{"id", "00000000000000a1"}, {"state", "failed"}}));
 }
 
+// What the operator reads, by name.
+std::map<std::string, std::string> figures(const std::string& address) {
+  Socket caller = Socket::connect(address);
+  caller.send("METRICS\n");
+  EXPECT_EQ(caller.line(), "OK");
+  std::map<std::string, std::string> out;
+  std::string line = caller.line();
+  for (; !line.empty() && line != "END"; line = caller.line()) {
+    out[line.substr(0, line.find(' '))] = line.substr(line.find(' ') + 1);
+  }
+  EXPECT_EQ(line, "END");
+  return out;
+}
+
+std::string asked(const std::string& address, const std::string& call) {
+  Socket caller = Socket::connect(address);
+  caller.send(call + "\n");
+  return caller.line();
+}
+
+bool becomes(const std::string& address, const std::string& name, const std::string& value) {
+  for (int left = kDeadlineMs / 10; left > 0; --left) {
+    if (figures(address)[name] == value) return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return false;
+}
+
+TEST(Program, TellsTheOperatorWhatHappened) {
+  Stage s;
+  s.config["operator"] = free_address();
+  const std::string address = s.config["operator"];
+  Program program(s.config);
+  program.start();
+  EXPECT_TRUE(asked(address, "STATUS").starts_with("OK"));
+  EXPECT_TRUE(asked(address, "SHUTDOWN").starts_with("ERR"));
+  EXPECT_TRUE(asked(address, std::string(1000, 'x')).starts_with("ERR"));
+  auto told = figures(address);
+  for (const std::string name : {"safe", "keyed", "unsafe"}) {
+    for (const std::string figure : {"served", "refused", "failed", "attempts"}) {
+      EXPECT_EQ(told["svc_" + figure + "_total{class=\"" + name + "\"}"], "0") << figure << name;
+    }
+  }
+  EXPECT_EQ(told["svc_endpoints_known"], "1");
+  EXPECT_EQ(told["svc_endpoints_excluded"], "0");
+  Socket client = program.client();
+  const auto put = [&](const std::string& id, const std::string& what) {
+    client.send(put_bytes(id, what));
+    return client.line();
+  };
+  EXPECT_EQ(put("a1", facts("safe")), "+OK");
+  s.host.next();
+  EXPECT_TRUE(becomes(address, "svc_in_flight", "1"));
+  s.host.answer("200");
+  EXPECT_EQ(put("a2", facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.reset();
+  s.discovery.notice();
+  EXPECT_EQ(put("a3", facts("keyed", 99, 300)), "+OK");  // nobody takes it, and its time passes
+  s.discovery.notice();
+  EXPECT_TRUE(becomes(address, "svc_in_flight", "0"));
+  EXPECT_TRUE(becomes(address, "svc_endpoints_excluded", "1"));  // after the reset it is passed over
+  told = figures(address);
+  EXPECT_EQ(told["svc_served_total{class=\"safe\"}"], "1");
+  EXPECT_EQ(told["svc_attempts_total{class=\"safe\"}"], "1");
+  EXPECT_EQ(told["svc_failed_total{class=\"unsafe\"}"], "1");
+  EXPECT_EQ(told["svc_attempts_total{class=\"unsafe\"}"], "1");
+  EXPECT_EQ(told["svc_refused_total{class=\"keyed\"}"], "1");
+  EXPECT_EQ(told["svc_attempts_total{class=\"keyed\"}"], "0");
+}
+
+// Clients' places are all taken, and so are the callers': one that asks is answered all the same.
+TEST(Program, AnswersTheOperatorWhenAllPlacesAreTaken) {
+  Stage s;
+  s.config["limits"]["sockets"] = 64;
+  s.config["operator"] = free_address();
+  const std::string address = s.config["operator"];
+  Program small(s.config);
+  small.start(64);
+  std::vector<Socket> crowd;
+  for (int i = 0; i < 60; ++i) crowd.push_back(small.client());
+  std::vector<Socket> silent;
+  for (int i = 0; i < 30; ++i) silent.push_back(Socket::connect(address));
+  EXPECT_TRUE(asked(address, "STATUS").starts_with("OK"));
+  EXPECT_TRUE(silent.front().ended());
+  EXPECT_TRUE(silent.back().ended());
+}
+
 // Out of descriptors an accept fails again at once: the relay waits a little and serves on.
 TEST(Program, SurvivesRunningOutOfDescriptors) {
   Stage s;
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -45,6 +45,7 @@
   boost::asio::io_context io_;
   bool may_start_ = true;
   bool began_ = false;
+  int written_ = 0;
   std::optional<AttemptEnded> ended_;
   uint64_t last_ = 0;
   Host host_;
@@ -52,6 +53,7 @@
                      {1'000'000, 10'000'000, 16},
                      {"x0", "x1"},
                      [this](const Call&) { return may_start_; },
+                     [this](const Call&) { ++written_; },
                      [this](const AttemptEnded& end, bool began) {
                        ended_ = end;
                        began_ = began;
