--- a/relay/figures.cpp
+++ b/relay/figures.cpp
@@ -48,15 +48,14 @@
   const auto line = [&](const std::string& name, uint64_t value) {
     out += "svc_" + name + " " + std::to_string(value) + "\n";
   };
-  const std::pair<const char*, uint64_t Class::*> by_class[] = {{"served_total", &Class::served},
-                                                                {"refused_total", &Class::refused},
-                                                                {"failed_total", &Class::failed},
-                                                                {"attempts_total", &Class::attempts}};
+  const std::pair<const char*, uint64_t Class::*> by_class[] = {
+      {"served_total", &Class::served}, {"refused_total", &Class::refused}, {"failed_total", &Class::failed}};
   for (const auto& [figure, member] : by_class) {
     for (const auto& [name, counts] : classes_) {
       line(std::string(figure) + "{class=" + quoted(name) + "}", counts.*member);
     }
   }
+  line("attempts_total", attempts_);
   line("in_flight", levels.in_flight);
   line("endpoints_known", levels.known);
   line("endpoints_excluded", levels.excluded);
--- a/relay/figures.h
+++ b/relay/figures.h
@@ -1,5 +1,5 @@
-// The relay's counts, by class and since the process began. Each has one owner, this; the operator's figures
-// and the log's status line both read them.
+// The relay's counts since the process began, of messages by class. Each has one owner, this; the operator's
+// figures and the log's status line both read them.
 #pragma once
 
 #include <cstdint>
@@ -29,7 +29,7 @@
 
   void taken() { ++totals_.taken; }
   void busy(const std::string& name, Busy reason);
-  void attempt(const std::string& name) { ++classes_[name].attempts; }
+  void attempt() { ++attempts_; }
   void served(const std::string& name);
   void returned(const std::string& name);
   void failed(const std::string& name);
@@ -45,7 +45,6 @@
     uint64_t served = 0;
     uint64_t refused = 0;
     uint64_t failed = 0;
-    uint64_t attempts = 0;
   };
   struct Totals {
     uint64_t taken = 0;
@@ -60,6 +59,7 @@
   std::map<std::string, Class> classes_;
   Totals totals_;
   Totals reported_;
+  uint64_t attempts_ = 0;
   uint64_t reloads_ok_ = 0;
   uint64_t reloads_failed_ = 0;
 };
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -68,7 +68,7 @@
       notices_(io, config.discovery, [this](const std::string& id) { journal_.done(id); }),
       upstream_(
           io, upstream_limits(config), config.report_fields,
-          [this](const Call& call) { return may_start(call); }, [this](const Call& call) { written(call); },
+          [this](const Call& call) { return may_start(call); }, [this](const Call&) { figures_.attempt(); },
           [this](const AttemptEnded& end, bool began) { ended(end, began); },
           [this](const ProbeEnded& end) { happened(end); }),
       watch_(
@@ -265,11 +265,6 @@
   return journal_.attempt(held->second.handed.id, call.attempt, wall_now(), host->member.zone);
 }
 
-void Relay::written(const Call& call) {
-  const auto held = held_.find(call.id);
-  if (held != held_.end()) figures_.attempt(held->second.handed.message_class);
-}
-
 // What the operator asks, with whole lines for a reply.
 std::string Relay::reply(const std::string& call) const {
   if (call == "STATUS") {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -74,7 +74,6 @@
   void put(Handed handed, Clients::Answer answer);
   void told(const HostList& list);
   bool may_start(const Call& call);
-  void written(const Call& call);
   std::string reply(const std::string& call) const;
   void ended(const AttemptEnded& end, bool began);
   void happened(Event event);
