--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -1,6 +1,7 @@
 #include "discovery.h"
 
 #include <cmath>
+#include <cstdio>
 #include <nlohmann/json.hpp>
 
 namespace firspool::relay {
@@ -94,9 +95,10 @@
   std::string lines_;
 };
 
-Watch::Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, Revision revision,
-             Told told, std::function<void()> current)
+Watch::Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, uint64_t seed,
+             Revision revision, Told told, std::function<void()> current)
     : io_(io),
+      random_(seed),
       address_(address),
       names_(std::move(names)),
       revision_(std::move(revision)),
@@ -125,8 +127,11 @@
 }
 
 void Watch::lost() {
+  if (++losses_ == 1) std::fprintf(stderr, "discovery: the watch is lost\n");
   stream_->close();
-  pause_.expires_after(back_off_);
+  // At random, so that relays which lost their watches together do not come back together.
+  pause_.expires_after(milliseconds(std::uniform_int_distribution<int64_t>(
+      back_off_.count() / 2, back_off_.count() + back_off_.count() / 2)(random_)));
   back_off_ = longer(back_off_);
   pause_.async_wait([this](const Error& error) {
     if (!error) connect();
@@ -135,6 +140,8 @@
 
 bool Watch::line(const std::string& text) {
   back_off_ = kFirstPause;
+  if (losses_ > 0) std::fprintf(stderr, "discovery: heard again after %d watches\n", losses_);
+  losses_ = 0;
   try {
     if (text.find_first_not_of(" \r\t") != std::string::npos) {
       told_(parse_list(nlohmann::json::parse(text), names_));
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -25,8 +26,8 @@
   using Revision = std::function<int64_t()>;  // the one that is known
 
   // `current` is called after each line: what there was to tell has been told.
-  Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, Revision revision,
-        Told told, std::function<void()> current);
+  Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, uint64_t seed,
+        Revision revision, Told told, std::function<void()> current);
   ~Watch();
 
   // Discovery has another address from now on.
@@ -42,6 +43,7 @@
   bool line(const std::string& text);
 
   boost::asio::io_context& io_;
+  std::mt19937_64 random_;
   tcp::endpoint address_;
   ListNames names_;
   Revision revision_;
@@ -49,6 +51,7 @@
   std::function<void()> current_;
   boost::asio::steady_timer pause_;
   std::chrono::milliseconds back_off_;
+  int losses_ = 0;  // watches that were lost since a line was heard
   std::shared_ptr<Stream> stream_;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -72,7 +72,7 @@
           [this](const AttemptEnded& end, bool began) { ended(end, began); },
           [this](const ProbeEnded& end) { happened(end); }),
       watch_(
-          io, config.discovery, config.names,
+          io, config.discovery, config.names, config.seed,
           [this, known = config.known.revision] { return std::max(known, directory_.revision()); },
           [this](const HostList& list) { told(list); }, [this] { open(); }),
       listening_(std::move(listening)),
