Spread a large fleet's asks for a watch over time

At fault: Watch::Watch, which asks at once, and the pauses in Watch::lost, the same at any fleet size.

AskTimes derives both from the settings' count of relays, inside the time after which a relay that has not asked counts as told. Up to ten relays ask as before. The test fails with the fleet's size left out.

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -17,11 +17,34 @@
 constexpr milliseconds kPostTimeout{1000};
 constexpr size_t kMostLine = 8 * 1024 * 1024;
 constexpr size_t kMostNotices = 200;  // in one request: well under the largest body
+constexpr int kTogether = 10;         // so few relays may ask at one moment
+constexpr milliseconds kAskEach{50};  // and so much time is left for each ask of more
 
 milliseconds longer(milliseconds pause) { return std::min(2 * pause, kLongestPause); }
 
 }  // namespace
 
+AskTimes::AskTimes(int relays, std::chrono::microseconds ask_every, uint64_t seed) : random_(seed) {
+  const auto every = std::chrono::duration_cast<milliseconds>(ask_every);
+  if (relays > kTogether)
+    turn_ = std::min(relays * kAskEach, every / 2);  // who has not asked by then is late
+  shortest_ = std::max(kFirstPause, turn_ / 2);
+  longest_ = std::max(kLongestPause, 2 * turn_);
+  back_off_ = shortest_;
+}
+
+milliseconds AskTimes::first() {
+  return milliseconds(std::uniform_int_distribution<int64_t>(0, turn_.count())(random_));
+}
+
+// At random, so that relays which lost their watches together do not come back together.
+milliseconds AskTimes::again() {
+  const milliseconds pause(std::uniform_int_distribution<int64_t>(
+      back_off_.count() / 2, back_off_.count() + back_off_.count() / 2)(random_));
+  back_off_ = std::min(2 * back_off_, longest_);
+  return pause;
+}
+
 // One connection with one endless answer.
 class Watch::Stream : public std::enable_shared_from_this<Stream> {
  public:
@@ -95,18 +118,21 @@
   std::string lines_;
 };
 
-Watch::Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, uint64_t seed,
+Watch::Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, AskTimes asks,
              Revision revision, Told told, std::function<void()> current)
     : io_(io),
-      random_(seed),
+      asks_(std::move(asks)),
       address_(address),
       names_(std::move(names)),
       revision_(std::move(revision)),
       told_(std::move(told)),
       current_(std::move(current)),
-      pause_(io),
-      back_off_(kFirstPause) {
-  connect();
+      pause_(io) {
+  if (const milliseconds pause = asks_.first(); pause.count() > 0) {
+    connect_after(pause);
+  } else {
+    connect();
+  }
 }
 
 Watch::~Watch() {
@@ -121,25 +147,26 @@
 
 void Watch::move(const tcp::endpoint& address) {
   address_ = address;
-  back_off_ = kFirstPause;
+  asks_.heard();
   pause_.cancel();
   connect();
 }
 
-void Watch::lost() {
-  if (++losses_ == 1) std::fprintf(stderr, "discovery: the watch is lost\n");
-  stream_->close();
-  // At random, so that relays which lost their watches together do not come back together.
-  pause_.expires_after(milliseconds(std::uniform_int_distribution<int64_t>(
-      back_off_.count() / 2, back_off_.count() + back_off_.count() / 2)(random_)));
-  back_off_ = longer(back_off_);
+void Watch::connect_after(milliseconds pause) {
+  pause_.expires_after(pause);
   pause_.async_wait([this](const Error& error) {
     if (!error) connect();
   });
 }
 
+void Watch::lost() {
+  if (++losses_ == 1) std::fprintf(stderr, "discovery: the watch is lost\n");
+  stream_->close();
+  connect_after(asks_.again());
+}
+
 bool Watch::line(const std::string& text) {
-  back_off_ = kFirstPause;
+  asks_.heard();
   if (losses_ > 0) std::fprintf(stderr, "discovery: heard again after %d watches\n", losses_);
   losses_ = 0;
   try {
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -19,6 +19,25 @@
 
 namespace firspool::relay {
 
+// When this relay asks discovery for a watch. Discovery answers only so many asks a second of all relays
+// together, and one that it turns down costs it as much as one that it answers: where all ask at once most
+// are turned down, and where those come back soon none is answered any more.
+class AskTimes {
+ public:
+  AskTimes(int relays, std::chrono::microseconds ask_every, uint64_t seed);
+
+  std::chrono::milliseconds first();  // after the start
+  std::chrono::milliseconds again();  // after a lost watch, or an ask that was turned down; longer each time
+  void heard() { back_off_ = shortest_; }
+
+ private:
+  std::mt19937_64 random_;
+  std::chrono::milliseconds turn_{0};  // in which each relay asks once; 0: few enough to ask together
+  std::chrono::milliseconds shortest_;
+  std::chrono::milliseconds longest_;
+  std::chrono::milliseconds back_off_;
+};
+
 // Follows the watch for as long as it lives: a connection that ends or falls silent is opened again.
 class Watch {
  public:
@@ -26,7 +45,7 @@
   using Revision = std::function<int64_t()>;  // the one that is known
 
   // `current` is called after each line: what there was to tell has been told.
-  Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, uint64_t seed,
+  Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, AskTimes asks,
         Revision revision, Told told, std::function<void()> current);
   ~Watch();
 
@@ -39,18 +58,18 @@
   class Stream;
 
   void connect();
+  void connect_after(std::chrono::milliseconds pause);
   void lost();
   bool line(const std::string& text);
 
   boost::asio::io_context& io_;
-  std::mt19937_64 random_;
+  AskTimes asks_;
   tcp::endpoint address_;
   ListNames names_;
   Revision revision_;
   Told told_;
   std::function<void()> current_;
   boost::asio::steady_timer pause_;
-  std::chrono::milliseconds back_off_;
   int losses_ = 0;  // watches that were lost since a line was heard
   std::shared_ptr<Stream> stream_;
 };
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -2,9 +2,11 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <ranges>
 
 #include "clients.h"
 #include "config.h"
+#include "discovery.h"
 #include "journal.h"
 #include "peers.h"
 #include "resp.h"
@@ -12,6 +14,8 @@
 namespace firspool::relay {
 namespace {
 
+using namespace std::chrono_literals;
+
 TEST(Config, FlattensToLinesOfTheModule) {
   const auto json =
       nlohmann::json::parse(R"({"a":{"b":[1,2],"c":true},"d":[{"e":"x"}],"f":[],"g":0.25,"h":"words, too"})");
@@ -91,6 +95,43 @@
   }
 }
 
+// How many of a fleet ask in the second in which most do.
+template <typename Pause>
+int most_in_a_second(int relays, Pause pause) {
+  std::map<int64_t, int> asks;
+  for (int relay = 0; relay < relays; ++relay) {
+    AskTimes times(relays, 10s, 1000 + static_cast<uint64_t>(relay));
+    ++asks[pause(times).count() / 1000];
+  }
+  return std::ranges::max(asks | std::views::values);
+}
+
+TEST(AskTimes, ALargeFleetSpreadsItsAsks) {
+  EXPECT_LT(most_in_a_second(100, [](AskTimes& times) { return times.first(); }), 40);
+  EXPECT_LT(most_in_a_second(100, [](AskTimes& times) { return times.again(); }), 50);
+  // Turned down again and again, all of them together ask seldom.
+  EXPECT_LT(most_in_a_second(100,
+                             [](AskTimes& times) {
+                               for (int i = 0; i < 9; ++i) times.again();
+                               return times.again();
+                             }),
+            25);
+  // However many there are, none is silent for as long as the settings bear.
+  AskTimes times(5000, 10s, 1);
+  EXPECT_LT(times.first(), 10s);
+  EXPECT_LT(times.again(), 10s);
+}
+
+TEST(AskTimes, AFewRelaysAskAtOnceAndComeBackSoon) {
+  AskTimes times(3, 10s, 1);
+  EXPECT_EQ(times.first(), 0ms);
+  EXPECT_LT(times.again(), 100ms);
+  for (int i = 0; i < 9; ++i) times.again();
+  EXPECT_LE(times.again(), 3s);
+  times.heard();
+  EXPECT_LT(times.again(), 100ms);
+}
+
 class JournalTest : public ::testing::Test {
  protected:
   JournalTest() {
