Take refusals that a used-up limit explains for no outage

At fault: assess(), for which three refusals in a row over 2.5 s are a shut destination. Of 100 relays each makes those three calls in about 2 s, and which of them a limit lets through is the others' doing.

A refusal that reports the limit as used up now proves nothing; one that reports room still counts, and so does one without a report. The test fails without the change.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -39,7 +39,8 @@
 constexpr Time kDeadSpan = 800 * kMs;
 constexpr int kShutStreak = 3;
 constexpr Time kShutSpan = 2500 * kMs;  // refusals alone must last longer: spans of a limit are shorter
-constexpr Time kAvoidLeast = kSecond;   // a failing endpoint is passed over for so long, doubled up to
+constexpr double kUsedUp = 0.5;  // a report of a smaller share left says why a call was refused: the limit
+constexpr Time kAvoidLeast = kSecond;  // a failing endpoint is passed over for so long, doubled up to
 constexpr Time kAvoidMost = 8 * kSecond;
 
 // Guards.
@@ -287,7 +288,13 @@
           l.wait_until = std::max(l.wait_until, now_ + e.wait + set_.tick + random_.between(0, kPauseMost));
         }
         if (e.wait == 0) narrow(attempt, l);
-        return unserved(attempt, l, false, e.wait);
+        unserved(attempt, l, false, e.wait);
+        // A rare caller is refused for long by a limit that others use up: that is no outage.
+        if (reported(e.report, set_.report_limit).value_or(0) > 0 &&
+            reported(e.report, set_.report_left).value_or(1) < kUsedUp) {
+          l.streak_since = kNever;
+        }
+        return;
       case Outcome::kError:
       case Outcome::kReset:
       case Outcome::kTimeout:
@@ -388,7 +395,7 @@
     watch(l);
     // A call sent later was served: this one was lost, or its endpoint is bad, but the destination is up.
     if (attempt.sent < l.last_served_sent) return;
-    if (l.streak++ == 0) l.streak_since = attempt.sent;
+    if (l.streak++ == 0 || l.streak_since == kNever) l.streak_since = attempt.sent;
     if (hard) {
       if (l.hard++ == 0) l.hard_since = attempt.sent;
       l.suspected = false;
@@ -453,7 +460,7 @@
         continue;
       }
       const bool dead = l.hard >= kDeadStreak && now_ - l.hard_since >= kDeadSpan;
-      const bool shut = l.streak >= kShutStreak && now_ - l.streak_since >= kShutSpan;
+      const bool shut = l.streak >= kShutStreak && l.streak_since <= now_ - kShutSpan;
       if (dead || shut) {
         go_out(l, dead ? "calls fail" : "all refused", false);
       } else if (const auto late = overdue.find(&l); late != overdue.end() && late->second >= kOverdue) {
--- a/src/state.h
+++ b/src/state.h
@@ -122,7 +122,7 @@
   bool bound = false;      // a message waited for the pace since the last served call
   int streak = 0;          // calls in a row that were not served
   int hard = 0;            // the last of these that were failures; a refusal between shows that it lives
-  Time streak_since = 0;   // when the first of them was sent
+  Time streak_since = 0;   // when the first that no limit explains was sent
   Time hard_since = 0;     // and the first of those failures
   Time out_since = 0;      // 0: no outage
   bool suspected = false;  // the outage rests on overdue calls alone
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -502,6 +502,36 @@
   EXPECT_FALSE(all_of<Send>(relay.idle(6 * kSecond, 19 * kSecond)).empty());  // warm before the messages end
 }
 
+// Refusals for seconds are a limit's where reports say that it is used up: others do that, unseen by a rare
+// caller. Where the limit has room, they are a shut destination's.
+TEST(Fleet, ALimitThatOthersUseUpIsNoOutage) {
+  const auto outages = [](float left) {
+    Settings s = plain_settings();
+    s.relays = 100;
+    s.report_left = 0;
+    s.report_limit = 1;
+    Relay relay(s);
+    relay.step(0, {members({member(1)})});
+    size_t logs = 0;
+    std::map<uint64_t, int> attempts;
+    std::vector<Event> events;
+    for (Time t = 0; t < 10 * kSecond; t += 50'000) {
+      if (t % kSecond == 0) events.push_back(relay.message(1 + static_cast<uint64_t>(t / kSecond), t));
+      const auto actions = relay.step(t, events);
+      events.clear();
+      logs += all_of<Log>(actions).size();
+      for (const Send& send : all_of<Send>(actions)) {
+        AttemptEnded refused = ended(send, attempts[send.id]++, Outcome::kFull);
+        refused.report = {left, 60};
+        events.push_back(refused);
+      }
+    }
+    return logs;
+  };
+  EXPECT_EQ(outages(0.1F), 0u);
+  EXPECT_EQ(outages(0.9F), 1u);
+}
+
 // ---- Connections ----
 
 // Calls on connections that idled long are lost, on fresh ones served: the next call opens a fresh one.
