Count the other relays' calls in the choice of an endpoint

At destination 1 one endpoint got 170 calls a second, refused 12% of them, and a new one, listed from 22 s on, 1 to 8. Ruled out: full connection tables, since calls on kept connections were refused as often as on fresh ones (a trace of both); the limit, as the share left was high and no wait was told. At fault: cost_of(), where only the relay's own calls out make an endpoint dearer. At 100 relays almost none is out when the next is sent, so each takes the connection that it has, or the first of equals: all take the same endpoint.

The others are now taken to call the endpoint as often as this relay does, beyond the ten that see enough themselves. The test fails without it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -59,6 +59,7 @@
 
 // Ordering and choice of endpoint.
 constexpr double kSecondsPerPrice = 5;  // seconds of latency that a price of 1 a call is held against
+constexpr int kSeen = 10;               // of so few relays each sees by its own calls how busy an endpoint is
 
 }  // namespace
 
@@ -817,7 +818,10 @@
   double cost_of(const Host& host) {
     const Latency& latency =
         host.latency.seen > 0 ? host.latency : latency_of(destinations_[host.member.destination]);
-    double cost = latency.mean * (1 + 0.5 * host.calls) / std::max(0.1, host.lane->room);
+    // The other relays' calls are not seen, but they do as this one does: where all took the endpoint that
+    // looks best to each alone, the whole fleet would take the same.
+    const double others = std::max(0, set_.relays - kSeen) * host.sent.per_second(now_) * latency.mean;
+    double cost = latency.mean * (1 + 0.5 * (host.calls + others)) / std::max(0.1, host.lane->room);
     if (host.member.zone != set_.zone) cost += kSecondsPerPrice * set_.price_cross_zone;
     if (needs_conn(host)) cost += kSecondsPerPrice * set_.price_handshake;
     if (host.avoid_until > now_) cost += seconds(kAvoidMost);
@@ -839,6 +843,7 @@
       host.conns = host.calls / std::max(1, set_.streams_per_conn) + 1;
     }
     host.last_used = now_;
+    host.sent.add(now_);
     calls_[++last_call_] = 0;
     ++host.calls;
     ++d.calls;
--- a/src/state.h
+++ b/src/state.h
@@ -147,6 +147,7 @@
   int fails = 0;
   Time avoid_until = 0;
   Latency latency;
+  Rate sent;  // own calls
 };
 
 // What is alike among destinations of a kind: the prior for one that this relay seldom calls.
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -532,6 +532,27 @@
   EXPECT_EQ(outages(0.9F), 1u);
 }
 
+// Each calls seldom, and none is out when the next is sent: what looks best to one looks best to all.
+TEST(Fleet, CallsSpreadOverTheEndpointsOfADestination) {
+  Settings s = plain_settings();
+  s.relays = 100;
+  s.price_handshake = 0.02;
+  std::map<Endpoint, int> calls;
+  for (uint64_t seed = 1; seed <= 10; ++seed) {
+    Relay relay(s, seed);
+    relay.step(0, {members({member(1), member(2)})});
+    for (uint64_t id = 1; id <= 20; ++id) {
+      const Time now = static_cast<Time>(id) * 600'000 + static_cast<Time>(seed) * 20'000;
+      for (const Send& send : all_of<Send>(relay.step(now, {relay.message(id, now)}))) {
+        ++calls[send.endpoint];
+        relay.step(now + 150'000, {ended(send, 0, Outcome::kOk, 150'000)});
+      }
+    }
+  }
+  ASSERT_EQ(calls.size(), 2u);
+  for (const auto& [endpoint, count] : calls) EXPECT_GE(count, 60);  // of 200
+}
+
 // ---- Connections ----
 
 // Calls on connections that idled long are lost, on fresh ones served: the next call opens a fresh one.
