Steer one of many relays' paces by the reported share of a limit

Ruled out: outages (none declared any more), queues and connections (share left under 0.2 at each refusal). At fault: narrow() and served(). A relay slows after its own refusals without a wait only, which at 2 calls a second come too late; it regains 3% with each served call; and those told to wait come back with a whole token each.

With more than ten relays the share left that each answer reports now sets the pace: at or under an even part of the limit while less than half is left, growing above it while there is room, slowly while messages wait. A change of the limit moves the pace at once. The first token after a wait is late at random. Two tests fail without it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -48,12 +48,17 @@
 constexpr double kScoutPart = 0.5;   // scouts of all relays together, in parts of the rate before the outage
 constexpr double kScoutLeast = 1.5;  // scouts a second of all relays together at least
 constexpr double kHolders = 5;  // seconds: holders of messages are counted as of an outage at least this old
-constexpr double kBaseLeast = 1.2;   // calls a second of all relays together, assumed where none was served
-constexpr double kFirstPace = 0.3;   // calls a second: least pace that the first refusal is held against
-constexpr double kLimitCut = 0.7;    // pace after the first refusal above a limit
-constexpr double kAgainCut = 0.5;    // and after each further one with nothing served between
-constexpr double kLimitGain = 0.03;  // regained, as a part of the pace, with each served call
-constexpr double kLimitBurst = 0.4;  // seconds of the pace that may go at once
+constexpr double kBaseLeast = 1.2;    // calls a second of all relays together, assumed where none was served
+constexpr double kFirstPace = 0.3;    // calls a second: least pace that the first refusal is held against
+constexpr double kLimitCut = 0.7;     // pace after the first refusal above a limit
+constexpr double kAgainCut = 0.5;     // and after each further one with nothing served between
+constexpr double kLimitGain = 0.03;   // regained, as a part of the pace, with each served call
+constexpr double kLimitBurst = 0.4;   // seconds of the pace that may go at once
+constexpr double kTight = 0.5;        // with less of a limit left no more than an even part of it is sent,
+constexpr double kTightLeast = 0.75;  // down to this part of that when it is used up
+constexpr double kEase = 1;           // doublings a second, at most, of a pace above that while there is room
+constexpr double kEaseBound = 0.1;    // and while messages wait for it, as in all relays they would
+constexpr double kLowered = 0.8;      // a limit cut to less than this part is heeded before it is used up
 constexpr Time kWindowMargin = 50 * kMs;  // a call is under way for a while before its host looks at its key
 constexpr double kShedAbove = 0.9;        // part of max_open above which the least worth is given back
 
@@ -138,7 +143,9 @@
       Destination& d = destinations_[m.destination];
       d.kind = m.kind;
       d.remembered.destination = m.destination;
-      if (set_.weights != Weights::kNone && m.weight > 0 && host.ready) host.lane->limit = m.weight;
+      if (set_.weights != Weights::kNone && m.weight > 0 && host.ready) {
+        host.lane->limit = m.weight;
+      }
     }
   }
 
@@ -287,6 +294,7 @@
         // At the end of a wait all relays that were told come back: the random pause keeps them out of step.
         if (e.wait > 0) {
           l.wait_until = std::max(l.wait_until, now_ + e.wait + set_.tick + random_.between(0, kPauseMost));
+          if (l.steered) l.pacer = late_start(l.wait_until);
         }
         if (e.wait == 0) narrow(attempt, l);
         unserved(attempt, l, false, e.wait);
@@ -322,12 +330,36 @@
   // A limit nearly used up makes its route dearer, so that routes with limits of their own are used evenly.
   void heed_report(const AttemptEnded& e, Lane& l) {
     const double limit = reported(e.report, set_.report_limit).value_or(0);
-    if (limit > 0) l.limit = limit;
-    if (e.outcome != Outcome::kOk && e.outcome != Outcome::kFull) return;
     const double served = limit > 0 ? std::min(1.0, reported(e.report, set_.report_left).value_or(1)) : 1;
+    if (limit > 0) follow_limit(limit, served, l);
+    if (e.outcome != Outcome::kOk && e.outcome != Outcome::kFull) return;
     l.room += 2 * kGain * ((e.outcome == Outcome::kOk ? served : 0) - l.room);
   }
 
+  // One of many relays makes few calls, and is refused late: when the others have used the limit up, and
+  // refused calls use it up too. So the share left that is reported sets its pace, about an even part of the
+  // limit.
+  void follow_limit(double limit, double left, Lane& l) {
+    const double before = std::exchange(l.limit, limit);
+    const Time at = std::exchange(l.reported_at, now_);
+    const Time since = at == kNever ? kSecond : now_ - at;
+    l.steered = set_.relays > kSeen;
+    if (!l.steered) return;
+    if (l.pace > 0 && before > 0) l.pace *= limit / before;
+    const double even = std::max(limit / set_.relays, 1 / seconds(longest_));
+    const double most = (kTightLeast + (1 - kTightLeast) * std::min(1.0, left / kTight)) * even;
+    if (left < kTight || (at != kNever && limit < kLowered * before)) {
+      if (l.pace == 0) l.pacer = late_start(now_);
+      l.pace = l.pace == 0 ? most : std::min(l.pace, most);
+    } else if (l.pace > 0) {
+      const double ease = (l.bound ? kEaseBound : kEase) * left * seconds(std::min(since, kSecond));
+      l.pace = std::min(limit, std::max(l.pace, even) * std::exp2(ease));
+    }
+  }
+
+  // At random, so that relays which are turned away together do not come back together.
+  Pacer late_start(Time at) { return {0.5 - seconds(random_.between(0, kSecond)), at}; }
+
   // ---- Priors and connections ----
 
   void learn_latency(Destination& d, Time took) {
@@ -377,8 +409,8 @@
     l.last_served_sent = std::max(l.last_served_sent, attempt.sent);
     l.streak = l.hard = 0;
     l.probe_ok = false;
-    l.pace = std::max(l.pace, l.paced);
-    if (l.bound) l.pace += kLimitGain * l.pace;
+    if (!l.steered) l.pace = std::max(l.pace, l.paced);
+    if (l.bound && !l.steered) l.pace += kLimitGain * l.pace;
     if (l.limit > 0) l.pace = std::min(l.pace, l.limit);
     l.bound = false;
     if (l.out_since == 0) return;
@@ -493,13 +525,13 @@
   // Refused above a limit that all relays share: send slower, from the own demand seen, and slower again with
   // each refusal in a row; at random, so that relays turned away together do not come back together.
   void narrow(const Attempt& attempt, Lane& l) {
-    if (attempt.sent < l.cut_at) return;
+    if (attempt.sent < l.cut_at || l.steered) return;
     const bool fresh = l.pace == 0 || l.streak == 0;
     if (l.pace == 0) l.pace = std::max(1.5 * pooled_rate(l), kFirstPace);
     l.pace = std::max((fresh ? kLimitCut : kAgainCut) * l.pace, 1 / seconds(longest_));
     if (fresh) l.paced = l.pace;
     l.cut_at = now_;
-    l.pacer = {0.5 - seconds(random_.between(0, kSecond)), now_};
+    l.pacer = late_start(now_);
   }
 
   // An outage that rests on suspicion alone is not worth keeping.
--- a/src/state.h
+++ b/src/state.h
@@ -117,6 +117,8 @@
   double pace = 0;   // own sends a second at most; 0: never refused
   double paced = 0;  // pace that a served call restores: one cut below that before the refusals in a row
   Time cut_at = 0;   // when the pace was last cut; calls sent before tell nothing new
+  Time reported_at = kNever;  // when the limit was last told
+  bool steered = false;       // the pace follows what is reported of the limit, not the own refusals
   Pacer pacer;
   double room = 1;         // mean share of the limit that is left, as reported or from refusals
   bool bound = false;      // a message waited for the pace since the last served call
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <optional>
 #include <stdexcept>
 
 #include "relay.h"
@@ -553,6 +554,64 @@
   for (const auto& [endpoint, count] : calls) EXPECT_GE(count, 60);  // of 200
 }
 
+// Sends of one relay of a hundred in five seconds after `from`, with a message every 100 ms and each served
+// and answered with the share that is left of a limit.
+struct Steered {
+  explicit Steered(float weight = 200) : settings(plain_settings()) {
+    settings.relays = 100;
+    settings.report_left = 0;
+    settings.report_limit = 1;
+    settings.weights = Weights::kNominal;
+    settings.slots = 100;
+    relay.emplace(settings);
+    Member m = member(1);
+    m.weight = weight;
+    relay->step(0, {members({m})});
+  }
+
+  int sends(Time from, float left, float limit) {
+    int count = 0;
+    for (Time t = from; t < from + 5 * kSecond; t += 50'000) {
+      if (t % 100'000 == 0) events.push_back(relay->message(++id, t));
+      const auto out = all_of<Send>(relay->step(t, events));
+      events.clear();
+      for (const Send& send : out) {
+        AttemptEnded served = ended(send, attempts[send.id]++, Outcome::kOk, 50'000);
+        served.report = {left, limit};
+        events.push_back(served);
+      }
+      count += static_cast<int>(out.size());
+    }
+    return count;
+  }
+
+  Settings settings;
+  std::optional<Relay> relay;
+  std::map<uint64_t, int> attempts;
+  std::vector<Event> events;
+  uint64_t id = 0;
+};
+
+// The others use a limit up: a relay that hears so keeps to its even part before it is refused.
+TEST(Fleet, ALimitNearlyUsedUpHoldsToTheEvenPart) {
+  Steered one;
+  one.sends(kSecond, 1, 200);
+  EXPECT_GE(one.sends(6 * kSecond, 1, 200), 40);  // of 50
+  one.sends(11 * kSecond, 0, 200);
+  const int held = one.sends(16 * kSecond, 0, 200);
+  EXPECT_GE(held, 5);
+  EXPECT_LE(held, 10);                             // two a second
+  EXPECT_LE(one.sends(21 * kSecond, 1, 200), 25);  // and lets go slowly while messages wait
+}
+
+// A limit that is lowered is heeded before it is used up.
+TEST(Fleet, ALoweredLimitIsHeededAtOnce) {
+  Steered one;
+  one.sends(kSecond, 1, 200);
+  EXPECT_GE(one.sends(6 * kSecond, 1, 200), 40);
+  EXPECT_LE(one.sends(11 * kSecond, 0.6F, 100), 15);
+}
+
 // ---- Connections ----
 
 // Calls on connections that idled long are lost, on fresh ones served: the next call opens a fresh one.
