Start one of many relays at its even part of the listed limit

Ruled out: calls that could not connect (none at destination 1) and the discovery of the release (watches are answered). At fault: a fresh lane's pace of 0, for unlimited, until the first report: 70 relays of 100 send for 0.2 to 0.6 s before.

With more than ten relays, and where a limit is both listed and reported, a fresh relay begins with one token and its even part of the listed limit, which the first report then moves.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -145,6 +145,11 @@
       d.remembered.destination = m.destination;
       if (set_.weights != Weights::kNone && m.weight > 0 && host.ready) {
         host.lane->limit = m.weight;
+        // Many relays started together would use it up before the first of them hears how much is left.
+        if (set_.relays > kSeen && set_.report_left >= 0 && host.lane->pace == 0) {
+          host.lane->pace = std::max(m.weight / set_.relays, 1 / seconds(longest_));
+          host.lane->pacer = {1, now_};
+        }
       }
     }
   }
