Count failed connects as full tables only where a call is served next

Ruled out: closing by endpoints (0 closed as idle, no resets) and full tables (no connect fails elsewhere). At fault: learn_idle(), which takes a connect that fails before the outage is known for a full table, and one of them is enough for close_idle() on the whole kind. It takes 40 served calls to forget, a long time for one relay of a hundred.

Failed connects now wait until a call of the destination is served, and go when it proves to be out. A test fails without it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -391,9 +391,13 @@
 
   // Idle connections can be dropped unseen: the age at which they are still used shrinks when calls on them
   // are lost more often than on fresh ones. Where it errs it costs handshakes.
-  void learn_idle(Outcome outcome, const Attempt& attempt, Kind& k, const Lane& l) {
-    if (outcome == Outcome::kConnectFailed && l.out_since == 0) k.unconnected += kGain * (1 - k.unconnected);
-    if (outcome == Outcome::kOk) k.unconnected *= 1 - kFullTable / 2;
+  void learn_idle(Outcome outcome, const Attempt& attempt, Kind& k, Lane& l) {
+    // Of a destination that is down no call is connected: only where another is served next a table was full.
+    if (outcome == Outcome::kConnectFailed && l.out_since == 0) ++l.unconnected;
+    if (outcome == Outcome::kOk) {
+      for (; l.unconnected > 0; --l.unconnected) k.unconnected += kGain * (1 - k.unconnected);
+      k.unconnected *= 1 - kFullTable / 2;
+    }
     if (outcome != Outcome::kOk && outcome != Outcome::kReset && outcome != Outcome::kTimeout) return;
     const double failed = outcome == Outcome::kOk ? 0 : 1;
     double& share = attempt.idle == 0 ? lost_ : stale_;
@@ -459,6 +463,7 @@
 
   void go_out(Lane& l, const char* evidence, bool suspected) {
     l.base = pooled_rate(l);
+    l.unconnected = 0;
     l.out_since = now_;
     l.back_since = 0;
     l.suspected = suspected;
--- a/src/state.h
+++ b/src/state.h
@@ -123,6 +123,7 @@
   double room = 1;         // mean share of the limit that is left, as reported or from refusals
   bool bound = false;      // a message waited for the pace since the last served call
   int streak = 0;          // calls in a row that were not served
+  int unconnected = 0;     // calls that got no connection since one was served
   int hard = 0;            // the last of these that were failures; a refusal between shows that it lives
   Time streak_since = 0;   // when the first that no limit explains was sent
   Time hard_since = 0;     // and the first of those failures
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -663,6 +663,34 @@
 }
 
 // An unsafe call keeps no slot for its whole life: lost answers would fill the slots one by one.
+// A destination that is down connects nobody: that says nothing of full tables, there or at others of its
+// kind.
+TEST(Connections, AnOutageIsNoFullTable) {
+  Relay relay(plain_settings());
+  relay.step(0, {members({member(1), member(2, 2)})});
+  std::map<uint64_t, int> attempts;
+  std::vector<Event> events;
+  uint64_t id = 0;
+  size_t released = 0;
+  size_t outages = 0;
+  for (Time t = 0; t < 10 * kSecond; t += 50'000) {
+    if (t % 500'000 == 0) {
+      events.push_back(relay.message(++id, t));
+      events.push_back(relay.message(++id, t, 0, 2));
+    }
+    const auto actions = relay.step(t, events);
+    events.clear();
+    released += all_of<CloseIdle>(actions).size();
+    outages += all_of<Log>(actions).size();
+    for (const Send& send : all_of<Send>(actions)) {
+      const bool down = send.endpoint == member(1).endpoint && t >= 2 * kSecond;
+      events.push_back(ended(send, attempts[send.id]++, down ? Outcome::kConnectFailed : Outcome::kOk));
+    }
+  }
+  EXPECT_EQ(outages, 1u);
+  EXPECT_EQ(released, 0u);
+}
+
 TEST(Outages, UnsafeCallsAreBoundedToo) {
   Relay relay(plain_settings());
   uint64_t id = 0;
