Begin late at random where a destination can be reached again

Ruled out: queues (share left 0.97 before, 0.16 after) and outages (8 declared in all). At fault: MembersChanged leaves each relay the token that it saved while nobody could be called: 100 calls at one moment.

The first token is now late at random where the list makes a destination reachable again. A test fails without it.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -152,6 +152,13 @@
         }
       }
     }
+    // All relays hear at once that a destination can be reached again, with messages waiting in each of them.
+    for (auto& [key, l] : lanes_) {
+      const bool was = std::exchange(l.reachable, std::ranges::any_of(hosts_, [&l = l](const auto& entry) {
+                                       return entry.second.lane == &l && entry.second.ready;
+                                     }));
+      if (l.reachable && !was && l.steered) l.pacer = late_start(now_);
+    }
   }
 
   void forget_gone() {
--- a/src/state.h
+++ b/src/state.h
@@ -119,6 +119,7 @@
   Time cut_at = 0;   // when the pace was last cut; calls sent before tell nothing new
   Time reported_at = kNever;  // when the limit was last told
   bool steered = false;       // the pace follows what is reported of the limit, not the own refusals
+  bool reachable = false;     // an endpoint of it is listed as ready
   Pacer pacer;
   double room = 1;         // mean share of the limit that is left, as reported or from refusals
   bool bound = false;      // a message waited for the pace since the last served call
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -621,6 +621,23 @@
   EXPECT_LE(all_of<Send>(one.relay->idle(1'050'000, 3 * kSecond)).size(), 4u);  // two a second
 }
 
+// A destination's only endpoint is replaced: all relays hear of the new one at once, with messages waiting.
+TEST(Fleet, AReplacedEndpointIsNotCalledByAllAtOnce) {
+  Steered one;
+  one.sends(kSecond, 1, 200);
+  const auto change = [](const Member& m) { return members({m}, MembersChanged::Form::kDelta); };
+  one.relay->step(10 * kSecond, {change(member(1, 1, 0, Listing::kDraining))});
+  for (uint64_t id = 1001; id <= 1005; ++id) {
+    EXPECT_TRUE(all_of<Send>(one.relay->step(11 * kSecond, {one.relay->message(id, 11 * kSecond)})).empty());
+  }
+  EXPECT_TRUE(all_of<Send>(one.relay->step(15 * kSecond, {change(member(2))})).empty());
+  EXPECT_GE(one.sends(15'050'000, 1, 200), 5);
+  one.relay->step(40 * kSecond, one.events);  // its own messages, and those that waited, are over
+  // What is said of another endpoint changes nothing for one that can be reached.
+  one.relay->step(45 * kSecond, {change(member(3))});
+  EXPECT_FALSE(all_of<Send>(one.relay->step(45 * kSecond, {one.relay->message(1010, 45 * kSecond)})).empty());
+}
+
 // ---- Connections ----
 
 // Calls on connections that idled long are lost, on fresh ones served: the next call opens a fresh one.
