--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -153,7 +153,7 @@
   clients_.emplace(
       io_, config_.listen, config_.inherited, client_limit(),
       [this](Handed handed, Clients::Answer answer) { put(std::move(handed), std::move(answer)); });
-  await_successor();
+  if (config_.inherited) await_successor();
   listening_(clients_->address());
 }
 
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -1,5 +1,7 @@
 // The program as a whole, over loopback sockets: what it accepts, what outlasts it, and how it ends.
+#include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <set>
 
@@ -561,6 +563,19 @@
   nlohmann::json changed = config;
 };
 
+// Nobody comes to a local socket where the platform does not hold the clients' one, and some refuse it.
+TEST(Upgrade, IsReadyForASuccessorOnlyWhereTheSocketIsInherited) {
+  const auto sockets = [](const Program& program) {
+    return std::ranges::count_if(std::filesystem::directory_iterator(program.state()),
+                                 [](const auto& entry) { return entry.is_socket(); });
+  };
+  Stage plain;
+  plain.program.start();
+  EXPECT_EQ(sockets(plain.program), 0);
+  Upgrade upgraded;
+  EXPECT_EQ(sockets(upgraded.program), 1);
+}
+
 TEST(Upgrade, TheSuccessorTakesOverWhatIsNotOut) {
   Upgrade s;
   EXPECT_EQ(s.hand_in("00000000000000a1", facts("unsafe")), "+OK");
