Ask for the watch in time to hear of a drain where news is pushed

At fault: AskTimes, which spreads first asks over up to half of ask_every_s (5 s). That bound is right only where the list comes to those who ask; where it is pushed, news counts as told once the agent has it, and sends must stop 2 s later.

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -24,12 +24,14 @@
 
 }  // namespace
 
-AskTimes::AskTimes(int relays, std::chrono::microseconds ask_every, uint64_t seed) : random_(seed) {
-  const auto every = std::chrono::duration_cast<milliseconds>(ask_every);
-  if (relays > kTogether)
-    turn_ = std::min(relays * kAskEach, every / 2);  // who has not asked by then is late
+AskTimes::AskTimes(const Settings& settings, uint64_t seed) : random_(seed), longest_(kLongestPause) {
+  if (settings.relays > kTogether) {
+    const milliseconds wide = std::min(settings.relays * kAskEach, milliseconds(settings.ask_every / 2000));
+    // News that is pushed counts as told from when the agent has it: who asks late sends to a draining host.
+    turn_ = settings.ask_for_list ? wide : std::min(wide, milliseconds(settings.drain_grace / 2000));
+    longest_ = std::max(longest_, 2 * wide);
+  }
   shortest_ = std::max(kFirstPause, turn_ / 2);
-  longest_ = std::max(kLongestPause, 2 * turn_);
   back_off_ = shortest_;
 }
 
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -24,7 +24,7 @@
 // are turned down, and where those come back soon none is answered any more.
 class AskTimes {
  public:
-  AskTimes(int relays, std::chrono::microseconds ask_every, uint64_t seed);
+  AskTimes(const Settings& settings, uint64_t seed);
 
   std::chrono::milliseconds first();  // after the start
   std::chrono::milliseconds again();  // after a lost watch, or an ask that was turned down; longer each time
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -95,12 +95,21 @@
   }
 }
 
+Settings asking(int relays, bool ask_for_list = true) {
+  Settings out;
+  out.relays = relays;
+  out.ask_for_list = ask_for_list;
+  out.ask_every = 10'000'000;
+  out.drain_grace = 2'000'000;
+  return out;
+}
+
 // How many of a fleet ask in the second in which most do.
 template <typename Pause>
 int most_in_a_second(int relays, Pause pause) {
   std::map<int64_t, int> asks;
   for (int relay = 0; relay < relays; ++relay) {
-    AskTimes times(relays, 10s, 1000 + static_cast<uint64_t>(relay));
+    AskTimes times(asking(relays), 1000 + static_cast<uint64_t>(relay));
     ++asks[pause(times).count() / 1000];
   }
   return std::ranges::max(asks | std::views::values);
@@ -117,13 +126,23 @@
                              }),
             25);
   // However many there are, none is silent for as long as the settings bear.
-  AskTimes times(5000, 10s, 1);
+  AskTimes times(asking(5000), 1);
   EXPECT_LT(times.first(), 10s);
   EXPECT_LT(times.again(), 10s);
 }
 
+// A fresh relay of 273 asked up to 5 s after its start, and sent meanwhile to what its agent knew to be
+// draining.
+TEST(AskTimes, WhereNewsIsPushedALargeFleetHearsOfADrainInTime) {
+  for (uint64_t seed = 1; seed <= 100; ++seed) {
+    AskTimes times(asking(273, false), seed);
+    ASSERT_LE(times.first(), 1s) << seed;
+    ASSERT_LE(times.again(), 1s) << seed;
+  }
+}
+
 TEST(AskTimes, AFewRelaysAskAtOnceAndComeBackSoon) {
-  AskTimes times(3, 10s, 1);
+  AskTimes times(asking(3), 1);
   EXPECT_EQ(times.first(), 0ms);
   EXPECT_LT(times.again(), 100ms);
   for (int i = 0; i < 9; ++i) times.again();
