--- /dev/null
+++ b/relay/budget.cpp
@@ -0,0 +1,55 @@
+#include "budget.h"
+
+#include <charconv>
+#include <chrono>
+#include <fstream>
+
+namespace firspool::relay {
+namespace {
+
+constexpr Time kMs = 1000;
+constexpr Time kTransit = 2 * kMs;  // a message's time runs from its client's sending
+constexpr Time kFine = 10 * kMs;    // below, a whole millisecond is a tenth of it
+
+template <typename C>
+Time read() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(C::now().time_since_epoch()).count();
+}
+
+// The first 64 bits of the random number that the kernel draws when it starts.
+uint64_t boot_id() {
+  std::ifstream in("/proc/sys/kernel/random/boot_id");
+  std::string text;
+  std::getline(in, text);
+  std::erase(text, '-');
+  uint64_t out = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + std::min<size_t>(text.size(), 16), out, 16);
+  return error == std::errc() && end == text.data() + 16 ? out : 0;
+}
+
+}  // namespace
+
+Time steady_now() { return read<std::chrono::steady_clock>(); }
+
+Instant instant_now() {
+  static const uint64_t boot = boot_id();
+  return {steady_now(), read<std::chrono::system_clock>(), boot};
+}
+
+Time here(const Instant& then, const Instant& now) {
+  if (then.boot != 0 && then.boot == now.boot) return std::min(then.steady, now.steady);
+  return now.steady - std::max<Time>(0, now.wall - then.wall);
+}
+
+Budget Budget::begin(Time read, Time given) {
+  const Time bounded = std::clamp<Time>(given, 0, kMost);
+  return Budget(read + bounded - std::min(kTransit, bounded));
+}
+
+std::string budget_text(Time left) {
+  const Time some = std::max<Time>(0, left);
+  return some < kFine ? std::to_string(some) + "u" : std::to_string(some / kMs) + "m";
+}
+
+}  // namespace firspool::relay
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -20,7 +20,6 @@
 constexpr auto kQuiet = std::chrono::milliseconds(2000);
 constexpr auto kRestOfRequest = std::chrono::milliseconds(500);  // for one that is under way by then
 constexpr size_t kMostName = 128;                                // ids, keys and class names
-constexpr Time kMostLife = Time{24} * 3600 * 1000;               // milliseconds
 
 // Ids and keys become header lines and journal records: nothing that could break one passes.
 bool is_name(std::string_view text) {
@@ -28,10 +27,10 @@
          std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isgraph(c) != 0; });
 }
 
-int64_t number(std::string_view text, int64_t most) {
+int64_t number(std::string_view text, int64_t least, int64_t most) {
   int64_t value = -1;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc() || end != text.data() + text.size() || value < 0 || value > most) {
+  if (error != std::errc() || end != text.data() + text.size() || value < least || value > most) {
     throw std::invalid_argument("'" + std::string(text.substr(0, 20)) + "' is not a number in range");
   }
   return value;
@@ -44,13 +43,13 @@
 
 }  // namespace
 
-Handed parse_put(const std::vector<std::string>& words) {
+Handed parse_put(const std::vector<std::string>& words, Time read) {
   if (words.size() != 5) throw std::invalid_argument("MSG.PUT takes a key, an id, a list and a body");
   Handed out;
   out.id = words[2];
   if (!is_name(out.id)) throw std::invalid_argument("unreadable id");
   out.destination = -1;
-  out.life = -1;
+  Time life = 0;
   std::string_view rest = words[3];
   while (!rest.empty()) {
     const std::string_view item = rest.substr(0, rest.find(','));
@@ -62,14 +61,15 @@
     if (name == "c") out.message_class = value;
     if (name == "t") out.tenant = value;
     if (name == "k") out.key = value;
-    if (name == "d") out.life = 1000 * number(value, kMostLife);
-    if (name == "dest") out.destination = static_cast<int>(number(value, 1'000'000));
+    if (name == "d") life = 1000 * number(value, 1, Budget::kMost / 1000);
+    if (name == "dest") out.destination = static_cast<int>(number(value, 0, 1'000'000));
   }
   if (!is_name(out.message_class)) throw std::invalid_argument("unreadable class");
   if (!out.tenant.empty() && !is_name(out.tenant)) throw std::invalid_argument("unreadable tenant");
   if (!out.key.empty() && !is_name(out.key)) throw std::invalid_argument("unreadable idempotency key");
-  if (out.life < 0) throw std::invalid_argument("no d");
+  if (life == 0) throw std::invalid_argument("no d");
   if (out.destination < 0) throw std::invalid_argument("no dest");
+  out.budget = Budget::begin(read, life);
   out.body = words[4];
   return out;
 }
@@ -78,7 +78,7 @@
 class Clients::Session : public std::enable_shared_from_this<Session> {
  public:
   Session(Clients& owner, tcp::socket socket)
-      : owner_(&owner), socket_(std::move(socket)), timer_(owner.io_) {}
+      : owner_(&owner), socket_(std::move(socket)), timer_(owner.io_), drained_(steady_now()) {}
 
   std::list<std::shared_ptr<Session>>::iterator place;
 
@@ -99,9 +99,12 @@
     if (owner_ == nullptr) return;
     if (late_) return answer_last("-ERR protocol error: request is not complete");
     reading_ = true;
+    // What is there already came at some time since the last read.
+    boost::system::error_code failed;
+    const bool waited = socket_.available(failed) > 0 && !failed;
     socket_.async_read_some(
         boost::asio::buffer(bytes_),
-        [self = shared_from_this()](auto error, size_t count) { self->read(error, count); });
+        [self = shared_from_this(), waited](auto error, size_t count) { self->read(error, count, waited); });
     if (owner_->finishing_) finish();
   }
 
@@ -136,11 +139,11 @@
     if (late_ || parser_.empty()) socket_.cancel(ignored);  // wakes the read, which decides
   }
 
-  void read(const boost::system::error_code& error, size_t count) {
+  void read(const boost::system::error_code& error, size_t count, bool waited) {
     reading_ = false;
     if (owner_ == nullptr) return;
     if (count > 0) {
-      parser_.feed({bytes_.data(), count});
+      feed(count, waited);
       return proceed();
     }
     boost::system::error_code failed;
@@ -156,10 +159,19 @@
     boost::system::error_code error;
     const size_t count = socket_.read_some(boost::asio::buffer(bytes_), error);
     if (count == 0) return close();
-    parser_.feed({bytes_.data(), count});
+    feed(count, false);
     proceed();
   }
 
+  // The parser holds no whole request when it is fed: the last byte of each that it finds came with this
+  // read.
+  void feed(size_t count, bool waited) {
+    const Time now = steady_now();
+    read_at_ = waited ? drained_ : now;
+    if (count < bytes_.size()) drained_ = now;
+    parser_.feed({bytes_.data(), count});
+  }
+
   void handle(const std::vector<std::string>& words) {
     timer_.cancel();
     grace_ = late_ = false;
@@ -171,7 +183,7 @@
     if (command != "MSG.PUT") return answer("-ERR unknown command");
     if (owner_ == nullptr) return;
     try {
-      owner_->put_(parse_put(words),
+      owner_->put_(parse_put(words, read_at_),
                    [self = shared_from_this()](const std::string& line) { self->answer(line); });
     } catch (const std::invalid_argument& error) {
       answer(std::string("-ERR ") + error.what());
@@ -210,6 +222,8 @@
   RespParser parser_;
   std::array<char, 16 * 1024> bytes_;
   std::string out_;
+  Time drained_;  // when the socket held nothing more to read
+  Time read_at_ = 0;
   bool reading_ = false;
   bool writing_ = false;
   bool grace_ = false;  // the connection's time is up, but for the rest of a request that is under way
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -13,8 +13,9 @@
 
 namespace firspool::relay {
 
-// Reads the words of MSG.PUT; throws std::invalid_argument with a line for the client.
-Handed parse_put(const std::vector<std::string>& words);
+// Reads the words of MSG.PUT, the last byte of which came at `read`; throws std::invalid_argument with a line
+// for the client.
+Handed parse_put(const std::vector<std::string>& words, Time read);
 
 class Clients {
  public:
--- a/relay/figures.cpp
+++ b/relay/figures.cpp
@@ -56,6 +56,11 @@
     }
   }
   line("attempts_total", attempts_);
+  for (size_t i = 0; i < kStages.size(); ++i) {
+    const std::string stage = "{stage=" + quoted(kStages[i]) + "}";
+    line("budget_spent_ms_total" + stage, static_cast<uint64_t>(spent_[i] / 1000));
+    line("ended_total" + stage, ended_[i]);
+  }
   line("in_flight", levels.in_flight);
   line("endpoints_known", levels.known);
   line("endpoints_excluded", levels.excluded);
--- a/relay/figures.h
+++ b/relay/figures.h
@@ -2,6 +2,7 @@
 // figures and the log's status line both read them.
 #pragma once
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -11,6 +12,11 @@
 
 namespace firspool::relay {
 
+// Where a message's time goes: until its first attempt, told waits apart; between attempts and in told waits;
+// until an attempt's first byte; and until that attempt's end.
+enum class Stage { kQueue, kWait, kConnect, kAnswer };
+constexpr std::array<const char*, 4> kStages = {"queue", "wait", "connect", "answer"};
+
 class Figures {
  public:
   struct Levels {  // as they are now, counted where they are kept
@@ -33,6 +39,8 @@
   void served(const std::string& name);
   void returned(const std::string& name);
   void failed(const std::string& name);
+  void spent(Stage stage, Time time) { spent_[static_cast<size_t>(stage)] += time; }
+  void ended(Stage stage) { ++ended_[static_cast<size_t>(stage)]; }  // a message, by its stage then
   void reloaded(bool ok) { ++(ok ? reloads_ok_ : reloads_failed_); }
 
   // One figure a line.
@@ -60,6 +68,8 @@
   Totals totals_;
   Totals reported_;
   uint64_t attempts_ = 0;
+  std::array<Time, kStages.size()> spent_ = {};
+  std::array<uint64_t, kStages.size()> ended_ = {};
   uint64_t reloads_ok_ = 0;
   uint64_t reloads_failed_ = 0;
 };
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -19,7 +19,16 @@
 constexpr size_t kLateRoom = 64;      // messages that may still come after the last compaction
 constexpr size_t kHeader = 8;         // length and checksum
 
-enum Kind : char { kAccepted = 'A', kAttempt = 'T', kNeverRan = 'N', kOwed = 'O', kDone = 'D', kFact = 'F' };
+enum Kind : char {
+  kAccepted = 'A',
+  kAttempt = 'T',
+  kNeverRan = 'N',
+  kOwed = 'O',
+  kDone = 'D',
+  kFact = 'F',
+  kRestated =
+      'R',  // a budget taken over from another boot, on the clock of this one; earlier versions skip it
+};
 
 class Writer {
  public:
@@ -44,6 +53,9 @@
     out_.append(value);
     return *this;
   }
+  Writer& instant(const Instant& value) {
+    return number(value.steady).number(value.wall).number(static_cast<int64_t>(value.boot));
+  }
   const std::string& payload() const { return out_; }
 
  private:
@@ -66,6 +78,13 @@
     return value;
   }
   std::string text() { return std::string(raw(static_cast<size_t>(number()))); }
+  Instant instant() {
+    Instant out;
+    out.steady = number();
+    out.wall = number();
+    out.boot = static_cast<uint64_t>(number());
+    return out;
+  }
 
  private:
   std::string_view raw(size_t count) {
@@ -124,11 +143,18 @@
 
 // What a file's records come to: the messages that are not over, with their records as written, and facts.
 struct Content {
+  struct Entry {
+    Recovered what;
+    std::string records;
+    Instant told;  // when its budget was written, and its end on that clock
+    Time due = 0;
+    std::map<int, Instant> sent;
+  };
   size_t whole = 0;  // bytes of whole records; a process killed while it wrote leaves a torn one at the end
-  std::map<uint64_t, std::pair<Recovered, std::string>> messages;  // in the order in which they came
+  std::map<uint64_t, Entry> messages;  // in the order in which they came
   std::map<std::string, std::string> facts;
 
-  explicit Content(std::string_view bytes) {
+  Content(std::string_view bytes, const Instant& now) {
     while (bytes.size() - whole >= kHeader) {
       uint32_t head[2];
       std::memcpy(head, bytes.data() + whole, kHeader);
@@ -138,6 +164,7 @@
       apply(payload);
       whole += kHeader + head[0];
     }
+    for (auto& [place, entry] : messages) tell_times(entry, now);
   }
 
  private:
@@ -156,7 +183,7 @@
       entry.message.message_class = in.text();
       entry.message.key = in.text();
       entry.message.destination = static_cast<int>(in.number());
-      entry.due = in.number();
+      const Time due_by_wall = in.number();
       entry.message.body = in.text();
       if (in.more()) entry.message.tenant = in.text();  // records of earlier versions end here
       if (in.more()) {                                  // or here
@@ -164,16 +191,37 @@
             std::make_shared<const MessageRules>(read_rules(in, entry.message.message_class));
       }
       places_[id] = ++order_;
-      messages[order_].first = std::move(entry);
+      Entry& fresh = messages[order_];
+      if (in.more()) {  // or here
+        fresh.told = in.instant();
+        fresh.due = in.number();
+        latest(fresh.told);
+      } else {
+        const Time life = entry.message.rules ? entry.message.rules->give_up : Budget::kMost;
+        fresh.told.wall = due_by_wall - life;
+        fresh.due = life;
+      }
+      fresh.what = std::move(entry);
     }
     const auto place = places_.find(id);
     if (place == places_.end()) return;
-    auto& [entry, records] = messages.at(place->second);
+    Entry& whole_entry = messages.at(place->second);
+    Recovered& entry = whole_entry.what;
     if (kind == kAttempt) {
       const int number = static_cast<int>(in.number());
-      const Time sent = in.number();
-      entry.attempts = number + 1;
-      entry.unsettled[number] = {sent, static_cast<int>(in.number())};
+      Instant sent;
+      sent.wall = in.number();
+      entry.attempts = std::max(entry.attempts, number + 1);
+      entry.unsettled[number].second = static_cast<int>(in.number());
+      if (in.more()) {
+        sent = in.instant();
+        latest(sent);
+      }
+      whole_entry.sent[number] = sent;
+    } else if (kind == kRestated) {
+      whole_entry.told = in.instant();
+      whole_entry.due = in.number();
+      latest(whole_entry.told);
     } else if (kind == kNeverRan) {
       entry.unsettled.erase(static_cast<int>(in.number()));
     } else if (kind == kOwed) {
@@ -184,11 +232,33 @@
       places_.erase(place);
       return;
     }
-    records += framed(record);
+    whole_entry.records += framed(record);
+  }
+
+  // The newest instant that was written in a boot: at least that much of each budget of it was gone by then.
+  void latest(const Instant& seen) {
+    Instant& newest = latest_[seen.boot];
+    if (newest.steady <= seen.steady) newest = seen;
+  }
+
+  Time told_here(const Instant& then, const Instant& now) const {
+    const auto newest = latest_.find(then.boot);
+    if (then.boot == 0 || then.boot == now.boot || newest == latest_.end()) return here(then, now);
+    return here(newest->second, now) - (newest->second.steady - then.steady);
+  }
+
+  void tell_times(Entry& entry, const Instant& now) const {
+    const Time told = told_here(entry.told, now);
+    entry.what.message.budget = Budget::until(told + entry.due - entry.told.steady);
+    for (const auto& [number, sent] : entry.sent) {
+      const auto unsettled = entry.what.unsettled.find(number);
+      if (unsettled != entry.what.unsettled.end()) unsettled->second.first = told_here(sent, now);
+    }
   }
 
   uint64_t order_ = 0;
   std::map<std::string, uint64_t> places_;
+  std::map<uint64_t, Instant> latest_;  // by boot: bounded by the boots whose messages are still open
 };
 
 std::string read_file(const std::filesystem::path& path) {
@@ -242,25 +312,37 @@
   std::filesystem::remove(journal(), ignored);
 }
 
-Journal::Journal(Place place, size_t most_file)
-    : place_(std::move(place)), path_(place_.journal()), fresh_path_(fresh(path_)), most_file_(most_file) {
+Journal::Journal(Place place, size_t most_file, Clock clock)
+    : place_(std::move(place)),
+      path_(place_.journal()),
+      fresh_path_(fresh(path_)),
+      most_file_(most_file),
+      clock_(std::move(clock)) {
   file_ = ::open(path_.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   if (file_ < 0) throw std::runtime_error("cannot open " + path_.string() + ": " + std::strerror(errno));
   const std::string bytes = read_file(path_);
-  Content content(bytes);
+  const Instant now = clock_();
+  Content content(bytes, now);
   size_ = content.whole;
   if (size_ < bytes.size() && ::ftruncate(file_, static_cast<off_t>(size_)) != 0) {
     throw std::runtime_error("cannot cut the torn tail of " + path_.string() + ": " + std::strerror(errno));
   }
   for (const auto& [name, value] : content.facts) keep_fact(name, value);
   for (auto& [place_there, entry] : content.messages) {
-    places_[entry.first.message.id] = ++order_;
-    live_bytes_ += entry.second.size() + kReserve;
-    live_[order_] = std::move(entry.second);
-    recovered_.push_back(std::move(entry.first));
+    places_[entry.what.message.id] = ++order_;
+    live_bytes_ += entry.records.size() + kReserve;
+    live_[order_] = std::move(entry.records);
+    if (entry.told.boot != now.boot) restate(entry.what);
+    recovered_.push_back(std::move(entry.what));
   }
 }
 
+// Without room for it a later boot counts from the older record once more.
+void Journal::restate(const Recovered& entry) {
+  const std::string& id = entry.message.id;
+  append(id, Writer(kRestated, id).instant(clock_()).number(entry.message.budget.due()).payload());
+}
+
 Journal::~Journal() { ::close(file_); }
 
 void Journal::limit(size_t most_file) {
@@ -281,7 +363,8 @@
 }
 
 std::vector<Recovered> Journal::adopt(std::string_view bytes, const std::set<std::string>& skip) {
-  Content content(bytes);
+  const Instant now = clock_();
+  Content content(bytes, now);
   const auto revision = [](const std::map<std::string, std::string>& facts) {
     const auto it = facts.find(kRevision);
     return it == facts.end() ? -1 : std::stoll(it->second);
@@ -291,25 +374,26 @@
   }
   std::vector<Recovered> out;
   for (auto& [place_there, entry] : content.messages) {
-    const std::string& id = entry.first.message.id;
+    const std::string& id = entry.what.message.id;
     if (places_.contains(id) || skip.contains(id)) continue;
     places_[id] = ++order_;
-    live_[order_] = entry.second;
-    if (!write(entry.second)) {
+    live_[order_] = entry.records;
+    if (!write(entry.records)) {
       live_.erase(order_);
       places_.erase(id);
       continue;
     }
-    live_bytes_ += entry.second.size() + kReserve;
-    out.push_back(std::move(entry.first));
+    live_bytes_ += entry.records.size() + kReserve;
+    if (entry.told.boot != now.boot) restate(entry.what);
+    out.push_back(std::move(entry.what));
   }
   return out;
 }
 
-std::vector<Recovered> Journal::read(std::string_view bytes) {
-  Content content(bytes);
+std::vector<Recovered> Journal::read(std::string_view bytes) const {
+  Content content(bytes, clock_());
   std::vector<Recovered> out;
-  for (auto& [place_there, entry] : content.messages) out.push_back(std::move(entry.first));
+  for (auto& [place_there, entry] : content.messages) out.push_back(std::move(entry.what));
   return out;
 }
 
@@ -331,10 +415,14 @@
   write(framed(Writer(kFact, name).text(value).payload()));
 }
 
-bool Journal::accepted(const Handed& m, Time due) {
+bool Journal::accepted(const Handed& m) {
+  const Instant now = clock_();
+  const Time due = m.budget.due();
   Writer out(kAccepted, m.id);
-  out.text(m.message_class).text(m.key).number(m.destination).number(due).text(m.body).text(m.tenant);
-  if (m.rules) write_rules(out, *m.rules);
+  out.text(m.message_class).text(m.key).number(m.destination).number(now.wall + due - now.steady);
+  out.text(m.body).text(m.tenant);
+  write_rules(out, *m.rules);
+  out.instant(now).number(due);
   const size_t bytes = kHeader + out.payload().size() + kReserve;
   if (static_cast<double>(live_bytes_ + bytes) > kAcceptPart * static_cast<double>(most_file_)) return false;
   places_[m.id] = ++order_;
@@ -348,10 +436,12 @@
   return false;
 }
 
-bool Journal::attempt(const std::string& id, int number, Time sent, int zone) {
+bool Journal::attempt(const std::string& id, int number, int zone) {
   const auto place = places_.find(id);
   if (place == places_.end()) return false;
-  const std::string payload = Writer(kAttempt, id).number(number).number(sent).number(zone).payload();
+  const Instant now = clock_();
+  const std::string payload =
+      Writer(kAttempt, id).number(number).number(now.wall).number(zone).instant(now).payload();
   if (append(id, payload)) return true;
   std::string& kept = live_[place->second];  // the call does not start: a compaction must not tell of it
   const size_t record = kHeader + payload.size();
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -15,8 +15,7 @@
 namespace firspool::relay {
 
 struct Recovered {
-  Handed message;
-  Time due = 0;  // wall clock, as all times here
+  Handed message;  // its budget and all times here are on this process's steady clock
   int attempts = 0;
   std::map<int, std::pair<Time, int>> unsettled;  // attempts that may have run: when sent, to which zone
   std::optional<Notice> owed;
@@ -52,7 +51,7 @@
  public:
   // Reads what is there, cuts a torn tail off and goes on behind it. Throws std::runtime_error if the file
   // cannot be used.
-  Journal(Place place, size_t most_file);
+  Journal(Place place, size_t most_file, Clock clock = instant_now);
   ~Journal();
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
@@ -71,7 +70,7 @@
   // cannot be written is not taken. Facts only where they are newer.
   std::vector<Recovered> adopt(std::string_view bytes, const std::set<std::string>& skip = {});
   // The messages in records, without taking them over.
-  static std::vector<Recovered> read(std::string_view bytes);
+  std::vector<Recovered> read(std::string_view bytes) const;
 
   // What was remembered last under each name. One of them is the list's revision.
   static constexpr const char* kRevision = "revision";
@@ -81,9 +80,9 @@
   size_t live_bytes() const { return live_bytes_; }
 
   // False: there is no room or it could not be written, and the message must not be taken on.
-  bool accepted(const Handed& message, Time due);
-  // False: it could not be written, and the call must not start.
-  bool attempt(const std::string& id, int number, Time sent, int zone);
+  bool accepted(const Handed& message);
+  // Sent now. False: it could not be written, and the call must not start.
+  bool attempt(const std::string& id, int number, int zone);
   void never_ran(const std::string& id, int number);
   void owed(const Notice& notice);
   void done(const std::string& id);
@@ -92,6 +91,7 @@
 
  private:
   void keep_fact(const std::string& name, const std::string& value);
+  void restate(const Recovered& entry);
   bool append(const std::string& id, const std::string& payload);
   bool write(std::string_view bytes);
   bool compact();
@@ -100,6 +100,7 @@
   std::filesystem::path path_;
   std::filesystem::path fresh_path_;
   size_t most_file_;
+  Clock clock_;
   bool frozen_ = false;
   int file_ = -1;
   size_t size_ = 0;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -17,7 +17,6 @@
 constexpr Time kStopPoll = 50 * kMs;
 constexpr Time kReport = 10 * 1000 * kMs;
 constexpr Time kFirstWord = 300 * kMs;  // discovery answers at once, unless it is down
-constexpr Time kTransit = 2 * kMs;      // a message's time runs from its client's sending
 
 // Descriptors are shared out so that no side starves another: the relay's own, the calls that may be out,
 // idle connections to hosts; clients and peers that only keep a place have the rest.
@@ -97,17 +96,24 @@
   HostList list;
   list.complete = true;
   std::vector<DestinationMemory> memories;
-  const Time offset = steady_now() - wall_now();
-  const auto steady = [&](Time t) { return t == 0 ? 0 : t + offset; };
+  const Instant now = instant_now();
   nlohmann::json members = nlohmann::json::array();
   for (const auto& [name, value] : facts) {
     const nlohmann::json fact = nlohmann::json::parse(value);
     if (name == Journal::kRevision) list.revision = fact.get<int64_t>();
     if (name.starts_with(kHost)) members.push_back(fact);
     if (name.starts_with(kDestination)) {
+      Instant told;  // earlier versions wrote no clocks
+      if (fact.contains("clocks")) {
+        told = {fact["clocks"].at(0).get<Time>(), fact["clocks"].at(1).get<Time>(),
+                fact["clocks"].at(2).get<uint64_t>()};
+      }
+      const auto steady = [&](const char* key) {
+        const Time wall = fact.at(key).get<Time>();
+        return wall == 0 ? 0 : here({told.steady + wall - told.wall, wall, told.boot}, now);
+      };
       memories.push_back({std::stoi(name.substr(kDestination.size())), fact.at("tokens").get<int>(),
-                          steady(fact.at("out_since").get<Time>()), steady(fact.at("back_since").get<Time>()),
-                          fact.at("base").get<double>()});
+                          steady("out_since"), steady("back_since"), fact.at("base").get<double>()});
     }
   }
   list.hosts =
@@ -118,12 +124,13 @@
 }
 
 void Relay::remember(const DestinationMemory& memory) {
-  const Time offset = wall_now() - steady_now();
-  const auto wall = [&](Time t) { return t == 0 ? 0 : t + offset; };
+  const Instant now = instant_now();
+  const auto wall = [&](Time t) { return t == 0 ? 0 : t + now.wall - now.steady; };
   const nlohmann::json fact = {{"tokens", memory.tokens},
                                {"out_since", wall(memory.out_since)},
                                {"back_since", wall(memory.back_since)},
-                               {"base", memory.base}};
+                               {"base", memory.base},
+                               {"clocks", {now.steady, now.wall, now.boot}}};
   journal_.remember(kDestination + std::to_string(memory.destination), fact.dump());
 }
 
@@ -168,15 +175,13 @@
                  clients_->open(), held_.size(), upstream_.out(), upstream_.idle(), notices_.size(),
                  journal_.live_bytes(), figures_.since_last().c_str(), broken.fresh, broken.kept,
                  static_cast<long long>(broken.least_idle / kMs));
-    std::erase_if(waits_, [](const auto& wait) { return wait.second <= steady_now(); });
+    std::erase_if(waits_, [](const auto& wait) { return wait.second.until <= steady_now(); });
     report();
   });
 }
 
 // Messages from before a restart are the module's to decide on, like any other.
 void Relay::resume(const std::vector<Recovered>& entries, bool pause) {
-  const Time now = steady_now();
-  const Time wall = wall_now();
   for (const Recovered& entry : entries) {
     if (entry.owed) {
       notices_.add(*entry.owed);
@@ -185,8 +190,9 @@
     const uint64_t number = ++last_number_;
     Held& held = held_[number];
     held.handed = entry.message;
-    held.due = now + (entry.due - wall);
     held.attempts = entry.attempts;
+    held.since = steady_now();
+    held.stage = entry.attempts > 0 ? Stage::kWait : Stage::kQueue;
     numbers_[entry.message.id] = number;
     Arrival in;
     in.id = number;
@@ -199,14 +205,14 @@
       continue;
     }
     in.tenant = std::max(0, tenant_of(entry.message.tenant));
-    in.due = held.due;
+    in.due = held.handed.budget.due();
     in.destination = entry.message.destination;
     in.attempts = entry.attempts;
     in.pause = pause;
     if (!entry.unsettled.empty()) {
       const auto& [sent, zone] = entry.unsettled.begin()->second;
       in.ran = true;
-      in.ran_sent = now + (sent - wall);
+      in.ran_sent = sent;
       in.ran_zone = zone;
     }
     happened(in);
@@ -230,10 +236,10 @@
   in.id = number;
   in.rules = handed.rules = rules->second;
   in.tenant = tenant;
-  in.due = steady_now() + handed.life - std::min(kTransit, handed.life);
+  in.due = handed.budget.due();
   in.destination = handed.destination;
   numbers_[handed.id] = number;
-  held_[number] = {std::move(handed), in.due, 0, false, false};
+  held_[number] = {std::move(handed), 0, false, false, Stage::kQueue, steady_now()};
   pending_.push_back({number, std::move(answer)});
   happened(in);
 }
@@ -259,10 +265,14 @@
 bool Relay::may_start(const Call& call) {
   const auto held = held_.find(call.id);
   const ListedHost* host = directory_.find(call.endpoint);
-  if (held == held_.end() || !directory_.active(call.endpoint) || steady_now() > call.start_by) return false;
+  const Time now = steady_now();
+  if (held == held_.end() || !directory_.active(call.endpoint)) return false;
+  if (now > call.start_by || held->second.handed.budget.over(now)) return false;
   const auto wait = waits_.find(lane_of(host->member));
-  if (wait != waits_.end() && wait->second > steady_now()) return false;
-  return journal_.attempt(held->second.handed.id, call.attempt, wall_now(), host->member.zone);
+  if (wait != waits_.end() && wait->second.until > now) return false;
+  if (!journal_.attempt(held->second.handed.id, call.attempt, host->member.zone)) return false;
+  enter(held->second, Stage::kAnswer);
+  return true;
 }
 
 // What the operator asks, with whole lines for a reply.
@@ -285,20 +295,41 @@
   const auto held = held_.find(end.id);
   if (held != held_.end()) held->second.out = false;
   const ListedHost* host = directory_.find(end.endpoint);
-  if (end.wait > 0 && host != nullptr) {
-    Time& until = waits_[lane_of(host->member)];
-    until = std::max(until, steady_now() + end.wait);
-  }
+  if (end.wait > 0 && host != nullptr) wait_told(lane_of(host->member), steady_now() + end.wait);
   if (held != held_.end()) {
     if (end.final) {
       finish(end.id, {}, end.outcome == Outcome::kOk);
-    } else if (began && never) {
-      journal_.never_ran(held->second.handed.id, end.attempt);
+    } else {
+      returned_.push_back(end.id);
+      if (began && never) journal_.never_ran(held->second.handed.id, end.attempt);
     }
   }
   happened(end);
 }
 
+void Relay::wait_told(const std::pair<int, Endpoint>& lane, Time until) {
+  const Time now = steady_now();
+  Wait& wait = waits_[lane];
+  if (wait.until <= now) wait.told = now;
+  wait.until = std::max(wait.until, until);
+}
+
+// Where the message's time goes from now on; what it spent until now is counted. Of the time before the first
+// attempt, a told wait's part is no queue's.
+void Relay::enter(Held& held, Stage next) {
+  const Time now = steady_now();
+  Time spent = now - held.since;
+  const auto wait = waits_.find({held.handed.destination, Endpoint{}});
+  if (held.stage == Stage::kQueue && wait != waits_.end()) {
+    const Time told = std::min(now, wait->second.until) - std::max(held.since, wait->second.told);
+    figures_.spent(Stage::kWait, std::max<Time>(0, told));
+    spent -= std::max<Time>(0, told);
+  }
+  figures_.spent(held.stage, spent);
+  held.stage = next;
+  held.since = now;
+}
+
 void Relay::happened(Event event) {
   events_.push_back(std::move(event));
   if (step_posted_) return;
@@ -314,6 +345,11 @@
   policy_.step(steady_now(), events, actions);
   answer_pending(actions);
   for (const Action& action : actions) carry_out(action);
+  // What was given up on just now ended in its attempt; the others wait for another.
+  for (const uint64_t number : std::exchange(returned_, {})) {
+    const auto held = held_.find(number);
+    if (held != held_.end() && !held->second.out) enter(held->second, Stage::kWait);
+  }
   arm();
   if (handing_) pass_on();
 }
@@ -347,7 +383,7 @@
         line = "-ERR failed";
         figures_.failed(handed.message_class);
       }
-    } else if (!journal_.accepted(handed, wall_now() + held->second.due - steady_now())) {
+    } else if (!journal_.accepted(handed)) {
       line = "-BUSY";  // no room on the disk
       figures_.busy(handed.message_class, Figures::Busy::kDisk);
       happened(Withdrawn{item.number});
@@ -385,6 +421,8 @@
     call.body = held->second.handed.body;
     call.timeout = send->timeout;
     call.start_by = send->start_by;
+    call.budget = held->second.handed.budget;
+    enter(held->second, Stage::kConnect);
     upstream_.call(std::move(call));
   } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
     const auto held = held_.find(refuse->id);
@@ -414,6 +452,7 @@
 void Relay::finish(uint64_t number, std::optional<Notice> notice, bool served) {
   const auto held = held_.find(number);
   const std::string& name = held->second.handed.message_class;
+  figures_.ended(held->second.stage);
   if (served) {
     figures_.served(name);
   } else if (notice && notice->returned) {
@@ -433,6 +472,7 @@
 // A class that left the settings goes with the last of its messages.
 void Relay::forget(std::unordered_map<uint64_t, Held>::iterator held) {
   const std::string name = held->second.handed.message_class;
+  enter(held->second, held->second.stage);
   numbers_.erase(held->second.handed.id);
   held_.erase(held);
   if (!rules_.contains(name)) forget_class(name);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -40,10 +40,15 @@
  private:
   struct Held {
     Handed handed;
-    Time due = 0;
     int attempts = 0;
     bool out = false;     // its call is
     bool passed = false;  // to the successor, which has not said yet that it is written
+    Stage stage = Stage::kQueue;
+    Time since = 0;  // when that began
+  };
+  struct Wait {  // told by a destination
+    Time told = 0;
+    Time until = 0;
   };
   // Whose journals there are in the folder at the start.
   struct Standing {
@@ -81,6 +86,8 @@
   void answer_pending(const std::vector<Action>& actions);
   void carry_out(const Action& action);
   void finish(uint64_t number, std::optional<Notice> notice, bool served = false);
+  void enter(Held& held, Stage next);
+  void wait_told(const std::pair<int, Endpoint>& lane, Time until);
   void forget(std::unordered_map<uint64_t, Held>::iterator held);
   void forget_class(const std::string& name);
   HostList renamed_list() const;
@@ -120,11 +127,12 @@
   std::optional<Operator> operator_;
   std::vector<Event> events_;
   std::vector<Pending> pending_;
+  std::vector<uint64_t> returned_;  // their attempts ended since the last step
   bool step_posted_ = false;
   uint64_t last_number_ = 0;
   std::unordered_map<uint64_t, Held> held_;
   std::unordered_map<std::string, uint64_t> numbers_;
-  std::map<std::pair<int, Endpoint>, Time> waits_;  // told waits: until when nothing goes there
+  std::map<std::pair<int, Endpoint>, Wait> waits_;  // nothing goes there meanwhile
   std::set<Time> wakes_;
   boost::asio::steady_timer wake_timer_;
   boost::asio::steady_timer stop_timer_;
--- a/relay/upgrade.cpp
+++ b/relay/upgrade.cpp
@@ -98,7 +98,7 @@
     }
     recall(facts);
   }
-  const Time offset = steady_now() - wall_now();
+  const Instant now = instant_now();
   for (const auto& wait : said.at("waits")) {
     Endpoint endpoint;
     const auto id = wait.at("id").get<std::string>();
@@ -106,10 +106,15 @@
       if (host.id == id) endpoint = handle;
     }
     if (!id.empty() && endpoint == Endpoint{}) continue;  // a host that left the list
-    const WaitTold told{wait.at("cell").get<int>(), endpoint, wait.at("until").get<Time>() + offset};
-    Time& until = waits_[{told.destination, told.endpoint}];
-    if (told.until <= until + 1000) continue;  // known; clocks are read anew each time
-    until = told.until;
+    // An earlier version tells no steady clock.
+    const bool steady = said.value("boot", uint64_t{0}) == now.boot && now.boot != 0;
+    const WaitTold told{
+        wait.at("cell").get<int>(), endpoint,
+        steady ? wait.at("steady").get<Time>() : wait.at("until").get<Time>() + now.steady - now.wall};
+    const auto known = waits_.find({told.destination, told.endpoint});
+    // Wall clocks are read anew each time.
+    if (known != waits_.end() && told.until <= known->second.until + 1000) continue;
+    wait_told({told.destination, told.endpoint}, told.until);
     happened(told);
   }
   if (!clients_) serve();
@@ -184,13 +189,15 @@
   if (!link_) return;
   nlohmann::json ids = nlohmann::json::array();
   for (const auto& [id, number] : numbers_) ids.push_back(id);
-  const Time offset = wall_now() - steady_now();
+  const Instant now = instant_now();
   nlohmann::json waits = nlohmann::json::array();
-  for (const auto& [lane, until] : waits_) {
-    if (until <= steady_now()) continue;
+  for (const auto& [lane, wait] : waits_) {
+    if (wait.until <= now.steady) continue;
     const ListedHost* host = directory_.find(lane.second);
-    waits.push_back(
-        {{"cell", lane.first}, {"id", host == nullptr ? "" : host->id}, {"until", until + offset}});
+    waits.push_back({{"cell", lane.first},
+                     {"id", host == nullptr ? "" : host->id},
+                     {"until", wait.until + now.wall - now.steady},
+                     {"steady", wait.until}});
   }
   const nlohmann::json share = {
       {"calls", upstream_.out()},
@@ -198,6 +205,7 @@
       {"clients", clients_->open()},
       {"file", share_.file},
       {"ids", ids},
+      {"boot", now.boot},
       {"waits", waits},
       {"facts", told_share_.empty() ? journal_.remembered() : std::map<std::string, std::string>{}}};
   std::string text = share.dump();
@@ -223,13 +231,13 @@
   journal_.limit(file_limit());
   happened(Closing{std::numeric_limits<Time>::max()});
   // A message that it had written may have been sent by it: its records count, not the ones here.
-  for (const Recovered& entry : Journal::read(left->read())) passed_on(entry.message.id);
+  for (const Recovered& entry : journal_.read(left->read())) passed_on(entry.message.id);
   adopt(std::move(*left));
   std::vector<Recovered> again;
   for (auto it = held_.begin(); it != held_.end();) {
     const auto held = it++;
     if (!held->second.passed) continue;
-    for (Recovered& entry : Journal::read(journal_.records(held->second.handed.id))) {
+    for (Recovered& entry : journal_.read(journal_.records(held->second.handed.id))) {
       again.push_back(std::move(entry));
     }
     numbers_.erase(held->second.handed.id);
--- a/relay/upstream.cpp
+++ b/relay/upstream.cpp
@@ -66,14 +66,16 @@
 
   void start() {
     begun_ = steady_now();
-    deadline_ = begun_ + call_.timeout;
+    deadline_ = probe_ ? begun_ + call_.timeout : call_.budget.cap(begun_ + call_.timeout);
     if (auto kept = owner_->take(call_.endpoint, call_.address)) {
       socket_ = std::move(kept->socket);
       idle_for_ = begun_ - kept->since;
       arm(deadline_);
       return write();
     }
-    arm(std::min(deadline_, begun_ + owner_->limits_.connect_timeout));
+    const Time connected_by = std::min(begun_ + call_.timeout, begun_ + owner_->limits_.connect_timeout);
+    short_ = !probe_ && call_.budget.cap(call_.start_by) < connected_by;
+    arm(short_ ? call_.budget.cap(call_.start_by) : connected_by);
     socket_.async_connect(call_.address, [self = shared_from_this()](const Error& error) {
       if (self->over_) return;
       if (error) return self->finish(Outcome::kConnectFailed);
@@ -98,10 +100,16 @@
   void arm(Time at) {
     timer_.expires_at(std::chrono::steady_clock::time_point(std::chrono::microseconds(at)));
     timer_.async_wait([self = shared_from_this()](const Error& error) {
-      if (!error && !self->over_) self->give_up(Outcome::kTimeout);
+      if (!error && !self->over_) self->overdue();
     });
   }
 
+  // That too little time is left for a connect says nothing of the host.
+  void overdue() {
+    if (short_ && !began_) return finish(Outcome::kMoot);
+    give_up(Outcome::kTimeout);
+  }
+
   // What was never wholly written cannot have run.
   void give_up(Outcome outcome) {
     if (over_) return;
@@ -141,8 +149,7 @@
     if (!probe_) {
       request_.set("X-Call-Id", call_.call_id);
       if (!call_.key.empty()) request_.set("Idempotency-Key", call_.key);
-      const Time left = std::max<Time>(1, (deadline_ - steady_now()) / 1000);
-      request_.set("X-Budget", std::to_string(left) + "m");
+      request_.set("X-Budget", budget_text(deadline_ - steady_now()));
       request_.body() = std::move(call_.body);
       request_.prepare_payload();
     }
@@ -236,6 +243,7 @@
   std::optional<http::response_parser<http::string_body>> parser_;
   Time begun_ = 0;
   Time deadline_ = 0;
+  bool short_ = false;  // its time ends before a connect's would
   bool began_ = false;
   bool written_ = false;
   bool over_ = false;
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -25,6 +25,7 @@
   std::string body;
   Time timeout = 0;
   Time start_by = 0;  // no byte of it may be written later
+  Budget budget;
 };
 
 class Upstream {
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -49,17 +49,31 @@
   EXPECT_TRUE(parser.empty());
 }
 
+constexpr Time kRead = 5'000'000;
+
 TEST(Put, RefusesWhatWouldBreakAHeader) {
   const auto parse = [](const std::string& id, const std::string& list) {
-    return parse_put({"MSG.PUT", "0", id, list, ""});
+    return parse_put({"MSG.PUT", "0", id, list, ""}, kRead);
   };
-  EXPECT_EQ(parse("a", "c=x,d=8000,dest=7,r=1,again=1").life, 8'000'000);
+  EXPECT_EQ(parse("a", "c=x,d=8000,dest=7,r=1,again=1").budget.left(kRead), 8'000'000 - 2000);
   EXPECT_EQ(parse("a", "c=x,t=acme,d=8000,dest=7").tenant, "acme");
   EXPECT_THROW(parse("a\r\nX: y", "c=x,d=8000,dest=7"), std::invalid_argument);
   EXPECT_THROW(parse("a", "c=x,k=b\r\nc,d=8000,dest=7"), std::invalid_argument);
-  EXPECT_THROW(parse("a", "c=x,d=-1,dest=7"), std::invalid_argument);
   EXPECT_THROW(parse("a", "c=x,d=8000"), std::invalid_argument);
-  EXPECT_THROW(parse("a", "c=x,d=99999999999999999999,dest=7"), std::invalid_argument);
+}
+
+// A time that is none must not become a message without an end, nor one that is over as it comes.
+TEST(Put, RefusesATimeThatIsNone) {
+  const auto parse = [](const std::string& d) {
+    return parse_put({"MSG.PUT", "0", "a", "c=x," + d + "dest=7", ""}, kRead);
+  };
+  for (const std::string d : {"", "d=,", "d=0,", "d=-1,", "d=-0,", "d=1e3,", "d=8000ms,", "d= 5,", "d=0x10,",
+                              "d=1.5,", "d=86400001,", "d=9223372036854775807,", "d=99999999999999999999,"}) {
+    EXPECT_THROW(parse(d), std::invalid_argument) << d;
+  }
+  EXPECT_EQ(parse("d=1,").budget.left(kRead), 0);  // less than its way here took
+  EXPECT_EQ(parse("d=3600000,").budget.left(kRead), Time{3600} * 1'000'000 - 2000);
+  EXPECT_EQ(parse("d=86400000,").budget.due(), kRead + Budget::kMost - 2000);
 }
 
 TEST(Directory, HandlesStandForIdsAndOldNewsIsDropped) {
@@ -159,8 +173,11 @@
   }
   ~JournalTest() override { std::filesystem::remove_all(folder_); }
 
-  static Handed message(const std::string& id, size_t body = 10) {
-    return {id, "keyed", "key", 7, 0, std::string(body, '\0'), "acme", nullptr};
+  Handed message(const std::string& id, size_t body = 10, Time due = 60'000'000) const {
+    return {id, "keyed", "key", 7, Budget::until(due), std::string(body, '\0'), "acme", rules_};
+  }
+  Clock clock() const {
+    return [this] { return now_; };
   }
   Place place() const { return std::move(*Place::take(folder_, 0)); }
   std::string bytes() const {
@@ -169,26 +186,28 @@
   }
 
   std::filesystem::path folder_;
+  Instant now_{50'000'000, 1'800'000'000'000'000, 7};
+  std::shared_ptr<const MessageRules> rules_ = std::make_shared<const MessageRules>();
 };
 
 TEST_F(JournalTest, TellsWhatBecameOfEachMessage) {
   {
-    Journal journal(place(), 500'000);
-    for (const std::string id : {"a", "b", "c", "d"}) ASSERT_TRUE(journal.accepted(message(id), 1234));
-    journal.attempt("a", 0, 100, 1);
-    journal.attempt("a", 1, 200, 0);
-    journal.attempt("b", 0, 100, 1);
+    Journal journal(place(), 500'000, clock());
+    for (const std::string id : {"a", "b", "c", "d"}) ASSERT_TRUE(journal.accepted(message(id)));
+    journal.attempt("a", 0, 1);
+    journal.attempt("a", 1, 0);
+    journal.attempt("b", 0, 1);
     journal.never_ran("b", 0);
     journal.owed({"c", true, 500});
     journal.done("d");
   }
-  const auto left = Journal(place(), 500'000).recovered();
+  const auto left = Journal(place(), 500'000, clock()).recovered();
   ASSERT_EQ(left.size(), 3u);
   EXPECT_EQ(left[0].message.body, std::string(10, '\0'));
   EXPECT_EQ(left[0].message.tenant, "acme");
-  EXPECT_EQ(left[0].due, 1234);
+  EXPECT_EQ(left[0].message.budget.due(), 60'000'000);
   EXPECT_EQ(left[0].attempts, 2);
-  EXPECT_EQ(left[0].unsettled.at(0), std::make_pair(Time{100}, 1));
+  EXPECT_EQ(left[0].unsettled.at(0), std::make_pair(now_.steady, 1));
   EXPECT_EQ(left[1].attempts, 1);
   EXPECT_TRUE(left[1].unsettled.empty());
   ASSERT_TRUE(left[2].owed);
@@ -200,17 +219,17 @@
 TEST_F(JournalTest, SurvivesACutAtAnyByte) {
   size_t first = 0;
   {
-    Journal journal(place(), 500'000);
-    journal.accepted(message("a"), 1);
+    Journal journal(place(), 500'000, clock());
+    journal.accepted(message("a"));
     first = bytes().size();
-    journal.accepted(message("b"), 1);
+    journal.accepted(message("b"));
   }
   const std::string whole = bytes();
   for (size_t cut = first; cut < whole.size(); ++cut) {
     std::ofstream(folder_ / "journal", std::ios::binary | std::ios::trunc) << whole.substr(0, cut);
-    Journal journal(place(), 500'000);
+    Journal journal(place(), 500'000, clock());
     ASSERT_EQ(journal.recovered().size(), 1u) << cut;
-    ASSERT_TRUE(journal.accepted(message("c"), 1));
+    ASSERT_TRUE(journal.accepted(message("c")));
     ASSERT_EQ(bytes().size(), whole.size()) << cut;
   }
 }
@@ -219,17 +238,17 @@
   constexpr size_t kDisk = 200'000;
   {
     Journal journal(place(), kDisk / 2);
-    ASSERT_TRUE(journal.accepted(message("kept", 1000), 1));
+    ASSERT_TRUE(journal.accepted(message("kept", 1000)));
     for (int i = 0; i < 2000; ++i) {
       const std::string id = "m" + std::to_string(i);
-      ASSERT_TRUE(journal.accepted(message(id, 1000), 1));
+      ASSERT_TRUE(journal.accepted(message(id, 1000)));
       journal.done(id);
       ASSERT_LT(2 * bytes().size(), kDisk);
     }
     int room = 0;
-    while (journal.accepted(message("n" + std::to_string(room), 1000), 1)) ++room;
+    while (journal.accepted(message("n" + std::to_string(room), 1000))) ++room;
     EXPECT_GT(room, 20);
-    EXPECT_TRUE(journal.attempt("kept", 0, 1, 0));  // there is always room for what follows
+    EXPECT_TRUE(journal.attempt("kept", 0, 0));  // there is always room for what follows
   }
   const auto left = Journal(place(), kDisk / 2).recovered();
   EXPECT_EQ(left.front().message.id, "kept");
@@ -241,11 +260,11 @@
   constexpr size_t kDisk = 3'000'000;
   Journal journal(place(), kDisk / 2);
   size_t taken = 0;
-  while (journal.accepted(message("m" + std::to_string(taken), 600), 1)) ++taken;
-  EXPECT_GT(taken * 600, kDisk / 4);
+  while (journal.accepted(message("m" + std::to_string(taken), 700))) ++taken;  // with its class's rules
+  EXPECT_GT(taken * 700, kDisk / 4);
   for (size_t i = 0; i < taken; ++i) {
     const std::string id = "m" + std::to_string(i);
-    for (int attempt = 0; attempt < 4; ++attempt) ASSERT_TRUE(journal.attempt(id, attempt, 1, 0)) << i;
+    for (int attempt = 0; attempt < 4; ++attempt) ASSERT_TRUE(journal.attempt(id, attempt, 0)) << i;
     ASSERT_LE(2 * std::filesystem::file_size(folder_ / "journal"), kDisk);
   }
 }
@@ -264,14 +283,14 @@
 
 TEST_F(JournalTest, TakesAnIdAgainAfterItsEnd) {
   {
-    Journal journal(place(), 500'000);
-    journal.accepted(message("a"), 1);
+    Journal journal(place(), 500'000, clock());
+    journal.accepted(message("a"));
     journal.done("a");
-    journal.accepted(message("a"), 2);
+    journal.accepted(message("a", 10, 70'000'000));
   }
-  const auto left = Journal(place(), 500'000).recovered();
+  const auto left = Journal(place(), 500'000, clock()).recovered();
   ASSERT_EQ(left.size(), 1u);
-  EXPECT_EQ(left[0].due, 2);
+  EXPECT_EQ(left[0].message.budget.due(), 70'000'000);
 }
 
 TEST_F(JournalTest, KeepsTheRulesOfAClassThatIsGone) {
@@ -288,8 +307,8 @@
   rules.max_attempts = 8;
   Handed with = message("a");
   with.rules = std::make_shared<const MessageRules>(rules);
-  Journal(place(), 500'000).accepted(with, 1);
-  const auto left = Journal(place(), 500'000).recovered();
+  Journal(place(), 500'000, clock()).accepted(with);
+  const auto left = Journal(place(), 500'000, clock()).recovered();
   ASSERT_TRUE(left.at(0).message.rules);
   const MessageRules& read = *left[0].message.rules;
   EXPECT_EQ(read.name, "keyed");
@@ -320,29 +339,29 @@
 
 TEST_F(JournalTest, AdoptsWhatAnotherLeftButNothingTwice) {
   {
-    Journal other(*Place::take(folder_, 1), 500'000);
-    for (const std::string id : {"a", "b", "c", "d"}) ASSERT_TRUE(other.accepted(message(id), 7));
-    other.attempt("b", 0, 100, 1);
+    Journal other(*Place::take(folder_, 1), 500'000, clock());
+    for (const std::string id : {"a", "b", "c", "d"}) ASSERT_TRUE(other.accepted(message(id)));
+    other.attempt("b", 0, 1);
     other.done("d");
     other.remember(Journal::kRevision, "5");
     other.remember("host h", "x");
   }
   const auto left = Place::take(folder_, 1);
-  Journal journal(place(), 500'000);
+  Journal journal(place(), 500'000, clock());
   journal.remember(Journal::kRevision, "4");
-  ASSERT_TRUE(journal.accepted(message("a"), 9));
+  ASSERT_TRUE(journal.accepted(message("a")));
   const auto adopted = journal.adopt(left->read(), {"c"});
   ASSERT_EQ(adopted.size(), 1u);
   EXPECT_EQ(adopted[0].message.id, "b");
   EXPECT_EQ(adopted[0].unsettled.size(), 1u);
   EXPECT_EQ(journal.remembered().at("host h"), "x");
   EXPECT_TRUE(journal.adopt(left->read(), {"c"}).empty());
-  EXPECT_EQ(Journal::read(bytes()).size(), 2u);
+  EXPECT_EQ(journal.read(bytes()).size(), 2u);
 }
 
 TEST_F(JournalTest, FrozenItStaysInsideWhatItTold) {
   Journal journal(place(), 200'000);
-  for (int i = 0; i < 100; ++i) ASSERT_TRUE(journal.accepted(message("m" + std::to_string(i), 500), 1));
+  for (int i = 0; i < 100; ++i) ASSERT_TRUE(journal.accepted(message("m" + std::to_string(i), 500)));
   const size_t told = journal.freeze();
   EXPECT_LT(told, 200'000u);
   for (int i = 0; i < 5000; ++i) journal.remember("a", std::to_string(i));
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -262,6 +262,18 @@
   EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "00000000000000a1"}, {"state", "failed"}}));
 }
 
+TEST(Program, TakesOnNoMessageWhoseTimeIsNoneOrOver) {
+  Stage s;
+  s.program.start();
+  for (const std::string d : {"0", "-1", "1e3", "86400001", "99999999999999999999", ""}) {
+    EXPECT_TRUE(s.put("00000000000000a1", "c=safe,d=" + d + ",dest=7").starts_with("-ERR")) << d;
+  }
+  EXPECT_TRUE(s.put("00000000000000a2", facts("safe", 7, 1)).starts_with("-BUSY"));
+  EXPECT_EQ(s.put("00000000000000a3", facts("safe")), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a3");
+  s.host.answer("200");
+}
+
 TEST(Program, EndsAMessageWhoseTimePassedWhileItWasDown) {
   Stage s;
   s.program.start();
@@ -433,6 +445,10 @@
   EXPECT_EQ(told["svc_failed_total{class=\"unsafe\"}"], "1");
   EXPECT_EQ(told["svc_attempts_total"], "2");
   EXPECT_EQ(told["svc_refused_total{class=\"keyed\"}"], "1");
+  EXPECT_EQ(told["svc_ended_total{stage=\"answer\"}"], "2");
+  EXPECT_EQ(told["svc_ended_total{stage=\"queue\"}"], "1");
+  EXPECT_GE(std::stoi(told["svc_budget_spent_ms_total{stage=\"queue\"}"]), 250);  // most of the third's 300
+  EXPECT_TRUE(told.contains("svc_budget_spent_ms_total{stage=\"connect\"}"));
 }
 
 // Clients' places are all taken, and so are the callers': one that asks is answered all the same.
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -28,6 +28,8 @@
     next.call_id = "9b1f03aa5c7e2d41";
     next.body = "body";
     next.timeout = timeout;
+    next.start_by = start_by_;
+    next.budget = budget_;
     ended_.reset();
     upstream_.call(next);
     io_.restart();
@@ -44,6 +46,8 @@
 
   boost::asio::io_context io_;
   bool may_start_ = true;
+  Time start_by_ = std::numeric_limits<Time>::max();
+  Budget budget_ = Budget::until(std::numeric_limits<Time>::max());
   bool began_ = false;
   int written_ = 0;
   std::optional<AttemptEnded> ended_;
@@ -139,6 +143,55 @@
   EXPECT_EQ(host_.connections(), 1);  // the connection stayed, and no byte was written to it before
 }
 
+// The time of the attempt and the message's are both told no longer than they are, connect included.
+TEST_F(UpstreamTest, TellsHowLongItWillWaitAndNeverMoreThanIsLeft) {
+  const auto told = [&](Time timeout, Time left) {
+    budget_ = Budget::until(steady_now() + left);
+    std::string text;
+    EXPECT_EQ(call(
+                  [&](Host& host) {
+                    text = host.next().headers.at("x-budget");
+                    host.answer("200");
+                  },
+                  timeout)
+                  .outcome,
+              Outcome::kOk);
+    const Time unit = text.back() == 'u' ? 1 : 1000;
+    EXPECT_TRUE(text.back() == 'u' || text.back() == 'm') << text;
+    return std::stoll(text) * unit;
+  };
+  constexpr Time kHour = Time{3600} * 1'000'000;
+  EXPECT_LE(told(20'000'000, kHour), 20'000'000);
+  EXPECT_LE(told(kHour, 30'000'000), 30'000'000);
+  EXPECT_GT(told(kHour, 2 * kHour), kHour - 30'000'000);
+}
+
+// A listener with its queue full lets a connect hang, as a host does that is slow to accept.
+class SlowToAccept {
+ public:
+  SlowToAccept() : listener_(testing::Socket::listen()) {
+    ::listen(listener_.fd(), 0);
+    first_ = testing::Socket::connect(listener_.port());
+  }
+  uint16_t port() const { return listener_.port(); }
+
+ private:
+  testing::Socket listener_;
+  testing::Socket first_;
+};
+
+TEST_F(UpstreamTest, AConnectThatEatsTheAnswersTimeSaysNothingOfTheHost) {
+  SlowToAccept slow;
+  start_by_ = steady_now() + 50'000;
+  EXPECT_EQ(call_to(slow.port(), 20'000'000).outcome, Outcome::kMoot);
+  EXPECT_FALSE(began_);
+  start_by_ = std::numeric_limits<Time>::max();
+  budget_ = Budget::until(steady_now() + 50'000);
+  EXPECT_EQ(call_to(slow.port(), 20'000'000).outcome, Outcome::kMoot);
+  budget_ = Budget::until(steady_now() + 20'000'000);
+  EXPECT_EQ(call_to(slow.port(), 20'000'000).outcome, Outcome::kConnectFailed);
+}
+
 // A call on a connection that the host has closed would end as a reset, and may have run.
 TEST_F(UpstreamTest, DoesNotUseAConnectionThatTheHostClosed) {
   EXPECT_EQ(call([](Host& host) {
