End a message at once where no attempt could be answered in time

Need: a told wait or a pause that outlasts a message's time held it to its deadline, so its client heard late what was known early; and calls went out with less left than any answer of that destination takes.

A message that is not out is given up on in the turn in which its next attempt could not start before its last useful moment: the end less what the quickest usual answer takes (mean less two mean deviations of served calls, from five on), and inside a key's window. Each send carries that moment, so a slow connect cannot pass it. Failures play no part in it. Hosts are kept by destination, which spares a look-up a message and step.

Tests fail without the waits (1) and without the usual answer (4).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -63,6 +63,8 @@
 constexpr double kShedAbove = 0.9;        // part of max_open above which the least worth is given back
 
 // Ordering and choice of endpoint.
+constexpr double kUsualDevs = 2;  // hardly an answer comes by so many mean deviations sooner than is usual
+constexpr int kUsualSeen = 5;     // so many served calls tell how long one usually takes
 constexpr double kSecondsPerPrice = 5;  // seconds of latency that a price of 1 a call is held against
 constexpr int kSeen = 10;               // of so few relays each sees by its own calls how busy an endpoint is
 
@@ -139,8 +141,8 @@
       host.lane = &lane_of(m);
       host.ready = m.listing == Listing::kReady;
       host.gone = m.listing == Listing::kGone;
-      by_destination_[m.destination][m.endpoint] = &host;
       Destination& d = destinations_[m.destination];
+      d.hosts[m.endpoint] = &host;
       d.kind = m.kind;
       d.remembered.destination = m.destination;
       if (set_.weights != Weights::kNone && m.weight > 0 && host.ready) {
@@ -165,7 +167,7 @@
     std::erase_if(hosts_, [this](const auto& entry) {
       const Host& host = entry.second;
       if (!host.gone || host.calls > 0) return false;
-      by_destination_[host.member.destination].erase(entry.first);
+      destinations_[host.member.destination].hosts.erase(entry.first);
       return true;
     });
   }
@@ -659,17 +661,21 @@
     return c.effect == Effect::kKeyed && c.key_scope == KeyScope::kAll;
   }
 
-  // Whether another attempt may ever be made.
-  bool hopeless(const Message& m) const {
-    const ClassSettings& c = *m.rules;
-    if (m.attempts >= m.rules->max_attempts) return true;
-    if (!m.ran) return false;
-    return c.effect == Effect::kUnsafe || (c.effect == Effect::kKeyed && now_ >= window_end(m));
+  // Whether another attempt may ever be made, and could be answered in time.
+  bool hopeless(const Message& m, const Destination& d) const {
+    if (m.attempts >= m.rules->max_attempts || (m.ran && m.rules->effect == Effect::kUnsafe)) return true;
+    return std::max({now_, m.not_before, d.open}) >= last_start(m, d);
   }
 
-  Time window_end(const Message& m) const { return m.ran_sent + m.rules->key_window - set_.tick; }
-
-  Time last_moment(const Message& m) const { return m.in.due - 2 * set_.tick; }
+  // From then on too little is left for the usual answer, or the destination may have forgotten the key.
+  Time last_start(const Message& m, const Destination& d) const {
+    Time at = m.in.due - 2 * set_.tick;
+    if (d.usual.seen >= kUsualSeen) {
+      at = std::min(at, m.in.due - micros(std::max(0.0, d.usual.mean - kUsualDevs * d.usual.dev)));
+    }
+    if (!m.ran || m.rules->effect != Effect::kKeyed) return at;
+    return std::min(at, m.ran_sent + m.rules->key_window - set_.tick - kWindowMargin);
+  }
 
   void give_up(uint64_t id, const Message& m) {
     out_->push_back(refusable(m) ? Action{Refuse{id, come_again(m)}} : Action{Fail{id}});
@@ -690,13 +696,23 @@
   }
 
   void settle() {
+    for (auto& [number, d] : destinations_) {
+      d.open = kNever;
+      for (const auto& [endpoint, host] : d.hosts) {
+        if (host->ready) d.open = std::min(d.open, host->lane->wait_until);
+      }
+      if (d.open == kNever) d.open = 0;
+    }
     std::vector<uint64_t> over;
+    const Destination unlisted;
     for (const auto& [id, m] : messages_) {
       if (m.out) continue;
-      if (hopeless(m) || now_ >= last_moment(m)) {
+      const auto found = destinations_.find(m.in.destination);
+      const Destination& d = found == destinations_.end() ? unlisted : found->second;
+      if (hopeless(m, d)) {
         over.push_back(id);
       } else {
-        wake(last_moment(m));
+        wake(last_start(m, d));
       }
     }
     for (const uint64_t id : over) {
@@ -756,8 +772,9 @@
         wake(m.not_before);
         continue;
       }
-      if (!by_destination_.contains(m.in.destination) || !has_turn(m)) continue;
-      const double latency = latency_of(destinations_[m.in.destination]).mean;
+      const auto d = destinations_.find(m.in.destination);
+      if (d == destinations_.end() || d->second.hosts.empty() || !has_turn(m)) continue;
+      const double latency = latency_of(d->second).mean;
       list.push_back({-worth_at(m, now_ + micros(latency)) / std::max(0.01, latency), m.target, id});
     }
     std::sort(list.begin(), list.end());
@@ -844,7 +861,7 @@
   Host* choose(const Message& m) {
     Host* best = nullptr;
     double best_cost = 0;
-    for (const auto& [endpoint, host] : by_destination_[m.in.destination]) {
+    for (const auto& [endpoint, host] : destinations_[m.in.destination].hosts) {
       if (!host->ready || !in_scope(m, *host)) continue;
       const Time at = admits(*host->lane);
       if (at > now_) {
@@ -908,10 +925,7 @@
     m.out = true;
     ++calls_[last_call_];
     attempts_[{m.in.id, m.attempts++}] = {host.member.endpoint, now_, last_call_, false, scout, idle_};
-    Send out{m.in.id, host.member.endpoint, timeout_of(m, d)};
-    const bool window = m.ran && m.rules->effect == Effect::kKeyed;
-    if (window) out.start_by = window_end(m) - kWindowMargin;
-    out_->push_back(out);
+    out_->push_back(Send{m.in.id, host.member.endpoint, timeout_of(m, d), last_start(m, d)});
   }
 
   // ---- The list and the timer ----
@@ -959,7 +973,6 @@
   std::map<std::pair<uint64_t, int>, Attempt> attempts_;
   std::map<uint64_t, int> calls_;  // calls out, with their messages that have no outcome yet
   std::map<Endpoint, Host> hosts_;
-  std::map<int, std::map<Endpoint, Host*>> by_destination_;
   std::map<int, Destination> destinations_;
   std::map<LaneKey, Lane> lanes_;
   std::map<LaneKey, Lane*> watched_;  // in an outage, or with calls failed or overdue: judged in each step
--- a/src/state.h
+++ b/src/state.h
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <map>
 #include <memory>
 #include <utility>
 
@@ -161,6 +162,8 @@
 };
 
 struct Destination {
+  std::map<Endpoint, Host*> hosts;
+  Time open = 0;  // told waits hold all its hosts until then
   int kind = 0;
   int tokens = kBucketCap;  // in parts
   int calls = 0;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <optional>
 #include <stdexcept>
 
@@ -170,6 +171,23 @@
   EXPECT_FALSE(all_of<Send>(relay.idle(2'010'000, 4 * kSecond)).empty());
 }
 
+// Held to its deadline it would have been answered no better, and its client told no sooner.
+TEST(Waits, OneThatOutlastsAMessagesTimeEndsItAtOnce) {
+  for (const Outcome outcome : {Outcome::kFull, Outcome::kOk}) {
+    Relay relay(plain_settings());
+    const auto first = all_of<Send>(relay.step(0, {members({member(1)}), relay.message(1, 0)}));
+    Arrival hurried = relay.message(2, 0);
+    hurried.due = 3 * kSecond;
+    const Time wait = outcome == Outcome::kFull ? 4 * kSecond : 0;
+    const auto done = relay.step(100'000, {ended(first.at(0), 0, outcome, 100'000, wait), hurried});
+    const auto refused = all_of<Refuse>(done);
+    ASSERT_EQ(refused.size(), wait > 0 ? 1u : 0u);
+    if (wait > 0) {
+      EXPECT_EQ(refused[0].id, 2u);
+    }
+  }
+}
+
 TEST(Waits, HoldOneRouteWhereRoutesAreApart) {
   Relay relay(plain_settings());
   const auto first =
@@ -833,6 +851,71 @@
   EXPECT_TRUE(all_of<Send>(relay.step(3'900'000, {relay.message(2, 3'900'000)})).empty());
 }
 
+// ---- The last useful attempt ----
+
+// A destination that usually takes 400 ms has served these.
+class LastAttempt : public ::testing::Test {
+ protected:
+  LastAttempt() {
+    relay_.step(0, {members({member(1)})});
+    for (uint64_t id = 1; id <= 20; ++id) {
+      const Time now = static_cast<Time>(id) * kSecond;
+      const auto sends = all_of<Send>(relay_.step(now, {relay_.message(id, now)}));
+      relay_.step(now + 400'000, {ended(sends.at(0), 0, Outcome::kOk, 400'000)});
+    }
+  }
+  Arrival hurried(uint64_t id, Time now, Time left) const {
+    Arrival out = relay_.message(id, now);
+    out.due = now + left;
+    return out;
+  }
+
+  Relay relay_{plain_settings()};
+};
+
+TEST_F(LastAttempt, IsNotMadeWithTooLittleLeftForAUsualAnswer) {
+  const Time now = 30 * kSecond;
+  const auto done = relay_.step(now, {hurried(100, now, 200'000), hurried(101, now, kSecond)});
+  const auto sends = all_of<Send>(done);
+  const auto refused = all_of<Refuse>(done);
+  ASSERT_EQ(sends.size(), 1u);
+  EXPECT_EQ(sends[0].id, 101u);
+  ASSERT_EQ(refused.size(), 1u);
+  EXPECT_EQ(refused[0].id, 100u);
+}
+
+TEST_F(LastAttempt, MayNotStartOnceAConnectHasEatenTheAnswersTime) {
+  const Time now = 30 * kSecond;
+  const auto sends = all_of<Send>(relay_.step(now, {hurried(100, now, kSecond)}));
+  ASSERT_EQ(sends.size(), 1u);
+  EXPECT_GT(sends[0].start_by, now);
+  EXPECT_LT(sends[0].start_by, now + 800'000);
+  // It did not start: the answer is given at once and not at the end.
+  EXPECT_EQ(all_of<Refuse>(relay_.step(now + 700'000, {ended(sends[0], 0, Outcome::kMoot, 700'000)})).size(),
+            1u);
+}
+
+TEST_F(LastAttempt, APauseThatOutlastsTheTimeIsNotWaitedFor) {
+  const Time now = 30 * kSecond;
+  const auto sends = all_of<Send>(relay_.step(now, {hurried(100, now, 900'000)}));
+  ASSERT_EQ(sends.size(), 1u);
+  const Time then = now + 600'000;
+  EXPECT_EQ(all_of<Refuse>(relay_.step(then, {ended(sends[0], 0, Outcome::kError, 600'000)})).size(), 1u);
+}
+
+// Failures are no reason: only what served calls took is.
+TEST_F(LastAttempt, AFirstAttemptIsNotWithheldForFailures) {
+  Time now = 30 * kSecond;
+  for (uint64_t id = 100; id < 103; ++id) {
+    const auto sends = all_of<Send>(relay_.step(now, {hurried(id, now, 600'000)}));
+    const auto first =
+        std::find_if(sends.begin(), sends.end(), [id](const Send& send) { return send.id == id; });
+    ASSERT_NE(first, sends.end()) << id;
+    relay_.step(now + 10'000, {ended(*first, 0, Outcome::kError, 10'000)});
+    now += 100'000;
+  }
+}
+
 // ---- Wrong use ----
 
 TEST(WrongUse, IsTold) {
