Judge a queue by the pace that a served call restores, not by a trouble's

At fault: drain_rate, which took the pace as cut by refusals in a row and the slot share as narrowed by long calls: both last for the trouble only, and made a queue that drains in seconds look like one of half a minute.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -712,7 +712,9 @@
     return now_ + after < m.in.due ? after : 0;
   }
 
-  // Calls a second that a destination's queue drains at, by its limit and its slots. kUnknown in an outage.
+  // Calls a second that a destination's queue may drain at: by the pace that a served call restores, and with
+  // all slots at its usual answers. Troubles narrow both, but not for the time that a queue takes. kUnknown
+  // in an outage.
   double drain_rate(const Destination& d) const {
     double paces = 0;
     for (const auto& [endpoint, host] : d.hosts) {
@@ -720,10 +722,11 @@
       if (l.out_since != 0) return kUnknown;
       if (!host->ready || paces < 0) continue;
       if (l.pace == 0) paces = -1;  // no limit was met there
-      if (l.pace > 0) paces = l.key.second == Endpoint{} ? l.pace : paces + l.pace;
+      const double pace = std::max(l.pace, l.paced);
+      if (l.pace > 0) paces = l.key.second == Endpoint{} ? pace : paces + pace;
     }
     if (d.usual.seen == 0) return paces > 0 ? paces : kUnknown;
-    const double slots = slot_share(d) / std::max(1e-6, d.latency.mean);
+    const double slots = set_.slots / std::max(1e-6, d.usual.mean);
     return paces > 0 ? std::min(paces, slots) : slots;
   }
 
