Give the relay arguments, a check of its configuration, and one bounded log with named events

Cause: the relay was set by its environment alone, a bad argument ended nowhere, a configuration could only be tried by starting on it, and fprintf on a pipe that nobody reads would have stopped service.

A seam for a wall clock that is off, for trials.

--- a/relay/budget.cpp
+++ b/relay/budget.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <chrono>
+#include <cstdlib>
 #include <fstream>
 
 namespace firspool::relay {
@@ -28,13 +29,20 @@
   return error == std::errc() && end == text.data() + 16 ? out : 0;
 }
 
+// A machine whose wall clock is off, for trials: milliseconds, from the environment.
+Time wall_offset() {
+  const char* text = std::getenv("UMBERHOIST_WALL_OFFSET_MS");
+  return text == nullptr ? 0 : std::strtoll(text, nullptr, 10) * kMs;
+}
+
 }  // namespace
 
 Time steady_now() { return read<std::chrono::steady_clock>(); }
 
 Instant instant_now() {
   static const uint64_t boot = boot_id();
-  return {steady_now(), read<std::chrono::system_clock>(), boot};
+  static const Time offset = wall_offset();
+  return {steady_now(), read<std::chrono::system_clock>() + offset, boot};
 }
 
 Time here(const Instant& then, const Instant& now) {
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -52,14 +52,6 @@
   }
 }
 
-std::string needed(const char* variable) {
-  const char* value = std::getenv(variable);
-  if (value == nullptr || *value == '\0') {
-    throw std::invalid_argument(std::string("environment variable ") + variable + " is not set");
-  }
-  return value;
-}
-
 }  // namespace
 
 std::string flatten(const json& settings) {
@@ -102,12 +94,11 @@
   return missing_key(json::parse(old.text), json::parse(next.text), "");
 }
 
-Config load_config() {
-  const std::string path = needed("PROXY_CONFIG");
-  const std::string state = needed("PROXY_STATE");
+Config load_config(const std::string& path, const std::string& state) {
   std::ifstream file(path, std::ios::binary);
   if (!file) throw std::invalid_argument("cannot read " + path);
   Config out = parse_config({std::istreambuf_iterator<char>(file), {}}, state);
+  out.path = path;
   // Two processes may share the file during an upgrade: what the environment says is this one's own.
   if (const char* own = std::getenv("PROXY_OPERATOR"); own != nullptr && *own != '\0') {
     out.operator_address = parse_address(own);
@@ -121,4 +112,32 @@
   return out;
 }
 
+std::string describe(const Config& config) {
+  const Settings& s = config.settings;
+  const auto seconds = [](Time t) { return json(static_cast<double>(t) / 1e6).dump() + " s"; };
+  std::string out =
+      "relay " + config.name + ", " + std::to_string(s.self) + " of " + std::to_string(s.relays) + "\n";
+  const auto at = [](const tcp::endpoint& a) {
+    return a.address().to_string() + ":" + std::to_string(a.port());
+  };
+  out += "clients at " + at(config.listen) + ", discovery at " + at(config.discovery) + ", operators " +
+         (config.operator_address ? "at " + at(*config.operator_address) : "nowhere") + "\n";
+  out += "limits: " + std::to_string(config.memory_bytes / 1'000'000) + " MB of memory, " +
+         std::to_string(config.sockets) + " descriptors, " +
+         json(static_cast<double>(config.disk_bytes) / 1e6).dump() + " MB on disk\n";
+  out += "holds " + std::to_string(s.max_open) + " messages, " + std::to_string(s.slots) + " calls out, " +
+         std::to_string(s.max_attempts) + " attempts for a message\n";
+  static constexpr const char* kEffects[] = {"safe to repeat", "repeats dropped by key", "never repeated"};
+  for (const ClassSettings& c : s.classes) {
+    out += "class " + c.name + ": " + kEffects[static_cast<size_t>(c.effect)] + ", wanted within " +
+           seconds(c.target) + ", given up at " + seconds(c.give_up) + "\n";
+  }
+  for (const TenantSettings& t : s.tenants) out += "tenant " + t.name + "\n";
+  out += std::to_string(config.known.hosts.size()) + " endpoints known, revision " +
+         std::to_string(config.known.revision) + "\n";
+  out += std::string("relays may ") + (s.may_tell_peers ? "" : "not ") + "talk to each other, and may " +
+         (s.may_probe ? "" : "not ") + "probe\n";
+  return out;
+}
+
 }  // namespace firspool::relay
--- a/relay/config.h
+++ b/relay/config.h
@@ -1,4 +1,4 @@
-// What a relay is told at its start: environment and JSON.
+// What a relay is told at its start: arguments, environment and JSON.
 #pragma once
 
 #include <cstdint>
@@ -12,6 +12,7 @@
 namespace firspool::relay {
 
 struct Config {
+  std::string path;  // of the file
   std::string text;  // as it was read
   std::string name;
   tcp::endpoint listen;
@@ -38,6 +39,10 @@
 
 // Throws std::exception with one line that says what is missing or unreadable.
 Config parse_config(const std::string& text, const std::string& state);
-Config load_config();
+// Of the file; what the environment says of this process alone is laid over it.
+Config load_config(const std::string& path, const std::string& state);
+
+// A few lines for a person: what a configuration means.
+std::string describe(const Config& config);
 
 }  // namespace firspool::relay
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -1,9 +1,10 @@
 #include "discovery.h"
 
 #include <cmath>
-#include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "log.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -162,14 +163,17 @@
 }
 
 void Watch::lost() {
-  if (++losses_ == 1) std::fprintf(stderr, "discovery: the watch is lost\n");
+  if (++losses_ == 1) log_event(LogLevel::kWarning, "watch_lost", "discovery: the watch is lost");
   stream_->close();
   connect_after(asks_.again());
 }
 
 bool Watch::line(const std::string& text) {
   asks_.heard();
-  if (losses_ > 0) std::fprintf(stderr, "discovery: heard again after %d watches\n", losses_);
+  if (losses_ > 0) {
+    log_info("watch_heard", "discovery: heard again after " + std::to_string(losses_) + " watches",
+             {{"watches", losses_}});
+  }
   losses_ = 0;
   try {
     if (text.find_first_not_of(" \r\t") != std::string::npos) {
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -1,4 +1,5 @@
-// Wiring and signals.
+// Wiring, arguments and signals.
+#include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -6,10 +7,59 @@
 #include <exception>
 
 #include "config.h"
+#include "log.h"
 #include "relay.h"
 
 namespace {
 
+using firspool::relay::LogFormat;
+using firspool::relay::LogLevel;
+
+struct Arguments {
+  std::string config;
+  std::string state;
+  bool check = false;
+  LogFormat format = LogFormat::kText;
+  LogLevel level = LogLevel::kInfo;
+};
+
+// Arguments go before the environment. Answers the exit code where there is nothing to run.
+std::optional<int> read_arguments(int argc, char** argv, Arguments& out) {
+  CLI::App app("The relay: takes messages over RESP2 and delivers them by HTTP calls.");
+  app.add_option("--config", out.config, "the configuration, a JSON file")->envname("PROXY_CONFIG");
+  app.add_option("--state", out.state, "the folder that lasts")->envname("PROXY_STATE");
+  app.add_flag("--check", out.check, "read the configuration, say what it means, and end");
+  app.set_version_flag("--version", UMBERHOIST_VERSION);
+  const std::map<std::string, LogFormat> formats = {{"text", LogFormat::kText}, {"json", LogFormat::kJson}};
+  app.add_option("--log-format", out.format, "text or json")->transform(CLI::CheckedTransformer(formats));
+  const std::map<std::string, LogLevel> levels = {{"debug", LogLevel::kDebug},
+                                                  {"info", LogLevel::kInfo},
+                                                  {"warning", LogLevel::kWarning},
+                                                  {"error", LogLevel::kError}};
+  app.add_option("--log-level", out.level, "debug, info, warning or error")
+      ->transform(CLI::CheckedTransformer(levels));
+  try {
+    app.parse(argc, argv);
+    if (out.config.empty()) throw CLI::RequiredError("--config or PROXY_CONFIG");
+    if (out.state.empty() && !out.check) throw CLI::RequiredError("--state or PROXY_STATE");
+  } catch (const CLI::ParseError& error) {
+    if (error.get_exit_code() == 0) return app.exit(error);  // help, version
+    std::fprintf(stderr, "umberhoist: %s\n", error.what());
+    return 2;
+  }
+  return {};
+}
+
+int check(const Arguments& given) {
+  try {
+    std::printf("%s", describe(firspool::relay::load_config(given.config, given.state)).c_str());
+    return 0;
+  } catch (const std::exception& fault) {
+    std::fprintf(stderr, "umberhoist: %s: %s\n", given.config.c_str(), fault.what());
+    return 1;
+  }
+}
+
 // SIGHUP: the configuration file was replaced.
 void follow_changes(boost::asio::signal_set& changes, firspool::relay::Relay& relay) {
   changes.async_wait([&](const boost::system::error_code& error, int) {
@@ -21,15 +71,21 @@
 
 }  // namespace
 
-int main() {
+int main(int argc, char** argv) {
+  Arguments given;
+  if (const auto code = read_arguments(argc, argv, given)) return *code;
+  if (given.check) return check(given);
+  firspool::relay::set_up_log(given.format, given.level);
   try {
     std::signal(SIGPIPE, SIG_IGN);
     boost::asio::io_context io(1);
     boost::asio::signal_set ends(io, SIGTERM, SIGINT);
     boost::asio::signal_set changes(io, SIGHUP);
-    firspool::relay::Relay relay(io, firspool::relay::load_config(), [](const auto& address) {
-      std::fprintf(stderr, "listening on %s:%u\n", address.address().to_string().c_str(), address.port());
-    });
+    firspool::relay::Relay relay(
+        io, firspool::relay::load_config(given.config, given.state), [](const auto& address) {
+          const std::string at = address.address().to_string() + ":" + std::to_string(address.port());
+          firspool::relay::log_info("listening", "listening on " + at, {{"address", at}});
+        });
     ends.async_wait([&relay](const boost::system::error_code& error, int) {
       if (!error) relay.stop();
     });
@@ -37,7 +93,8 @@
     io.run();
     return 0;
   } catch (const std::exception& error) {
-    std::fprintf(stderr, "umberhoist: %s\n", error.what());
+    firspool::relay::log_event(LogLevel::kError, "ended", std::string("umberhoist: ") + error.what(),
+                               {{"reason", error.what()}});
     return 1;
   }
 }
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "log.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -171,12 +172,18 @@
   report_timer_.async_wait([this](const boost::system::error_code& error) {
     if (error) return;
     const Upstream::Broken broken = upstream_.broken();
-    std::fprintf(stderr,
-                 "status: clients %zu, held %zu, calls %zu, idle connections %zu, notices %zu, journal %zu "
-                 "bytes; %s; connections reset: fresh %zu, kept %zu after %lld ms idle or more\n",
-                 clients_->open(), held_.size(), upstream_.out(), upstream_.idle(), notices_.size(),
-                 journal_.live_bytes(), figures_.since_last().c_str(), broken.fresh, broken.kept,
-                 static_cast<long long>(broken.least_idle / kMs));
+    const auto text = [](size_t value) { return std::to_string(value); };
+    log_info("status",
+             "status: clients " + text(clients_->open()) + ", held " + text(held_.size()) + ", calls " +
+                 text(upstream_.out()) + ", idle connections " + text(upstream_.idle()) + ", notices " +
+                 text(notices_.size()) + ", journal " + text(journal_.live_bytes()) + " bytes; " +
+                 figures_.since_last() + "; connections reset: fresh " + text(broken.fresh) + ", kept " +
+                 text(broken.kept) + " after " + std::to_string(broken.least_idle / kMs) + " ms idle or more",
+             {{"clients", clients_->open()},
+              {"held", held_.size()},
+              {"calls", upstream_.out()},
+              {"notices", notices_.size()},
+              {"journal_bytes", journal_.live_bytes()}});
     std::erase_if(waits_, [](const auto& wait) { return wait.second.until <= steady_now(); });
     report();
   });
@@ -461,7 +468,7 @@
   } else if (const auto* avoided = std::get_if<Avoided>(&action)) {
     avoided_ = avoided->endpoints;
   } else if (const auto* log = std::get_if<Log>(&action)) {
-    std::fprintf(stderr, "%s\n", log->text.c_str());
+    log_info("module", log->text);
   }
 }
 
@@ -518,13 +525,14 @@
 void Relay::reload() {
   Config next;
   try {
-    next = load_config();
+    next = load_config(config_.path, config_.state);
     if (const std::string key = missing_key(config_, next); !key.empty()) {
       throw std::invalid_argument(key + " is missing");
     }
   } catch (const std::exception& fault) {
     figures_.reloaded(false);
-    std::fprintf(stderr, "configuration is kept as it was: %s\n", fault.what());
+    log_event(LogLevel::kWarning, "config_kept",
+              std::string("configuration is kept as it was: ") + fault.what(), {{"reason", fault.what()}});
     return;
   }
   figures_.reloaded(true);
@@ -546,7 +554,8 @@
     watch_.move(config_.discovery);
     notices_.move(config_.discovery);
   }
-  std::fprintf(stderr, "configuration is taken: %zu classes\n", rules_.size());
+  log_info("config_taken", "configuration is taken: " + std::to_string(rules_.size()) + " classes",
+           {{"classes", rules_.size()}});
 }
 
 // The list as it is known, read with the names of the settings as they are now.
--- a/relay/upgrade.cpp
+++ b/relay/upgrade.cpp
@@ -1,8 +1,8 @@
 // The relay's part in an upgrade: one process takes over from another while both run.
 #include <algorithm>
-#include <cstdio>
 #include <nlohmann/json.hpp>
 
+#include "log.h"
 #include "relay.h"
 
 namespace firspool::relay {
@@ -40,7 +40,10 @@
 void Relay::adopt(Place left) {
   const std::string bytes = left.read();
   std::vector<Recovered> entries = journal_.adopt(bytes, taken_over_);
-  if (!entries.empty()) std::fprintf(stderr, "%zu messages taken over from a journal\n", entries.size());
+  if (!entries.empty()) {
+    log_info("taken_over", std::to_string(entries.size()) + " messages taken over from a journal",
+             {{"messages", entries.size()}});
+  }
   left.remove();
   if (clients_) return resume(entries);
   waiting_.insert(waiting_.end(), entries.begin(), entries.end());
@@ -136,7 +139,8 @@
     handover_.emplace(io_, config_.state, journal_.place(),
                       [this](std::shared_ptr<Link> link) { asked(std::move(link)); });
   } catch (const std::exception& fault) {  // it can still wait for this process to end
-    std::fprintf(stderr, "a successor cannot ask: %s\n", fault.what());
+    log_event(LogLevel::kWarning, "successor_cannot_ask",
+              std::string("a successor cannot ask: ") + fault.what());
   }
 }
 
@@ -155,8 +159,10 @@
 }
 
 void Relay::hand_over() {
-  std::fprintf(stderr, "a successor takes over: %zu messages held, %zu calls out\n", held_.size(),
-               upstream_.out());
+  log_info("successor_takes_over",
+           "a successor takes over: " + std::to_string(held_.size()) + " messages held, " +
+               std::to_string(upstream_.out()) + " calls out",
+           {{"held", held_.size()}, {"calls", upstream_.out()}});
   handing_ = closed_ = true;
   clients_->finish();
   upstream_.close_all_idle();
@@ -227,7 +233,7 @@
     });
     return;
   }
-  std::fprintf(stderr, "the successor is gone: serving again\n");
+  log_event(LogLevel::kWarning, "successor_gone", "the successor is gone: serving again");
   handing_ = closed_ = false;
   share_ = {};
   journal_.limit(file_limit());
