Give what the relay holds one owner, and the operator's replies another

Change: relay/custody puts, resumes, finishes and counts messages and alone writes their records; relay/waits.h keeps told waits; relay/replies answers the operator, and parts add calls and figures to it. Behaviour is the same, but that the time a message spent with a lost successor now counts in its stage.

--- /dev/null
+++ b/relay/custody.cpp
@@ -0,0 +1,193 @@
+#include "custody.h"
+
+#include <algorithm>
+
+namespace firspool::relay {
+namespace {
+
+constexpr Time kMs = 1000;
+
+std::map<std::string, std::shared_ptr<const MessageRules>> rules_by_name(const Settings& settings) {
+  std::map<std::string, std::shared_ptr<const MessageRules>> out;
+  for (auto& rules : message_rules(settings)) out[rules->name] = std::move(rules);
+  return out;
+}
+
+}  // namespace
+
+Custody::Custody(boost::asio::io_context& io, Place place, size_t most_file, const Settings& settings,
+                 const tcp::endpoint& discovery, const ToldWaits& waits, Happened happened)
+    : tenants_(settings.tenants),
+      rules_(rules_by_name(settings)),
+      journal_(std::move(place), most_file),
+      figures_(settings.classes),
+      notices_(io, discovery, [this](const std::string& id) { journal_.done(id); }),
+      waits_(waits),
+      happened_(std::move(happened)) {}
+
+void Custody::retune(const Settings& settings) {
+  tenants_ = settings.tenants;
+  const auto old = std::exchange(rules_, rules_by_name(settings));
+  figures_.show(settings.classes);
+  for (const auto& [name, rules] : old) {
+    if (!rules_.contains(name)) forget_class(name);
+  }
+}
+
+// Sites without tenants name none.
+int Custody::tenant_of(const std::string& name) const {
+  if (tenants_.empty()) return 0;
+  const auto it = std::ranges::find(tenants_, name, &TenantSettings::name);
+  return it == tenants_.end() ? -1 : static_cast<int>(it - tenants_.begin());
+}
+
+std::variant<uint64_t, std::string> Custody::put(Handed handed) {
+  if (numbers_.contains(handed.id)) return "+OK";  // sent once more: it is held already
+  const auto rules = rules_.find(handed.message_class);
+  if (rules == rules_.end()) return "-ERR unknown class";
+  const int tenant = tenant_of(handed.tenant);
+  if (tenant < 0) return "-ERR unknown tenant";
+  const uint64_t number = ++last_number_;
+  Arrival in;
+  in.id = number;
+  in.rules = handed.rules = rules->second;
+  in.tenant = tenant;
+  in.due = handed.budget.due();
+  in.destination = handed.destination;
+  in.room = journal_.has_room(handed);
+  numbers_[handed.id] = number;
+  held_[number] = {std::move(handed), 0, false, false, Stage::kQueue, steady_now()};
+  happened_(in);
+  return number;
+}
+
+std::string Custody::decided(uint64_t number, const Action* away) {
+  const auto held = held_.find(number);
+  const Handed& handed = held->second.handed;
+  std::string line = "+OK";
+  if (const auto* refuse = away == nullptr ? nullptr : std::get_if<Refuse>(away)) {
+    const Time ms = (refuse->retry_after + kMs - 1) / kMs;
+    line = ms > 0 ? "-BUSY " + std::to_string(ms) : "-BUSY";
+    figures_.refused(handed.message_class, Figures::Place::kDoor, refuse->reason);
+  } else if (away != nullptr) {
+    line = "-ERR failed";
+    figures_.failed(handed.message_class);
+  } else if (!journal_.accepted(handed)) {
+    line = "-BUSY";  // it could not be written, though there seemed to be room
+    figures_.refused(handed.message_class, Figures::Place::kDoor, Reason::kRoom);
+    happened_(Withdrawn{number});
+  }
+  if (line == "+OK") {
+    figures_.taken();
+  } else {
+    numbers_.erase(handed.id);
+    held_.erase(held);
+  }
+  return line;
+}
+
+void Custody::resume(const std::vector<Recovered>& entries, bool pause) {
+  for (const Recovered& entry : entries) {
+    if (entry.owed) {
+      notices_.add(*entry.owed);
+      continue;
+    }
+    const uint64_t number = ++last_number_;
+    Held& held = held_[number];
+    held.handed = entry.message;
+    held.attempts = entry.attempts;
+    held.since = steady_now();
+    held.stage = entry.attempts > 0 ? Stage::kWait : Stage::kQueue;
+    numbers_[entry.message.id] = number;
+    Arrival in;
+    in.id = number;
+    in.rules = entry.message.rules;
+    if (const auto known = rules_.find(entry.message.message_class); !in.rules && known != rules_.end()) {
+      in.rules = held.handed.rules = known->second;
+    }
+    if (!in.rules) {  // nothing is known of what it allows
+      finish(number, Notice{entry.message.id, false, 0});
+      continue;
+    }
+    in.tenant = std::max(0, tenant_of(entry.message.tenant));
+    in.due = held.handed.budget.due();
+    in.destination = entry.message.destination;
+    in.attempts = entry.attempts;
+    in.pause = pause;
+    if (!entry.unsettled.empty()) {
+      const auto& [sent, zone] = entry.unsettled.begin()->second;
+      in.ran = true;
+      in.ran_sent = sent;
+      in.ran_zone = zone;
+    }
+    happened_(in);
+  }
+}
+
+Custody::Held* Custody::find(uint64_t number) {
+  const auto it = held_.find(number);
+  return it == held_.end() ? nullptr : &it->second;
+}
+
+std::optional<uint64_t> Custody::number_of(const std::string& id) const {
+  const auto it = numbers_.find(id);
+  return it == numbers_.end() ? std::nullopt : std::optional(it->second);
+}
+
+// Of the time before the first attempt, a told wait's part is no queue's.
+void Custody::enter(Held& held, Stage next) {
+  const Time now = steady_now();
+  Time spent = now - held.since;
+  if (held.stage == Stage::kQueue) {
+    const Time told = waits_.within({held.handed.destination, Endpoint{}}, held.since, now);
+    figures_.spent(Stage::kWait, told);
+    spent -= told;
+  }
+  figures_.spent(held.stage, spent);
+  held.stage = next;
+  held.since = now;
+}
+
+bool Custody::sends(Held& held, int attempt, int zone) {
+  if (!journal_.attempt(held.handed.id, attempt, zone)) return false;
+  enter(held, Stage::kAnswer);
+  return true;
+}
+
+void Custody::finish(uint64_t number, std::optional<Notice> notice, Reason reason, bool served) {
+  const Held& held = held_.at(number);
+  const std::string& name = held.handed.message_class;
+  figures_.ended(held.stage);
+  if (served) {
+    figures_.served(name);
+  } else if (notice && notice->returned) {
+    figures_.refused(name, Figures::Place::kHeld, reason);
+  } else {
+    figures_.failed(name);
+  }
+  if (notice) {
+    journal_.owed(*notice);
+    notices_.add(std::move(*notice));
+  } else {
+    journal_.done(held.handed.id);
+  }
+  forget(number);
+}
+
+// A class that left the settings goes with the last of its messages.
+void Custody::forget(uint64_t number) {
+  const auto held = held_.find(number);
+  const std::string name = held->second.handed.message_class;
+  enter(held->second, held->second.stage);
+  numbers_.erase(held->second.handed.id);
+  held_.erase(held);
+  if (!rules_.contains(name)) forget_class(name);
+}
+
+void Custody::forget_class(const std::string& name) {
+  const bool open = std::ranges::any_of(
+      held_, [&](const auto& entry) { return entry.second.handed.message_class == name; });
+  if (!open) figures_.forget(name);
+}
+
+}  // namespace firspool::relay
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -41,12 +41,6 @@
   return out;
 }
 
-std::map<std::string, std::shared_ptr<const MessageRules>> rules_by_name(const Settings& settings) {
-  std::map<std::string, std::shared_ptr<const MessageRules>> out;
-  for (auto& rules : message_rules(settings)) out[rules->name] = std::move(rules);
-  return out;
-}
-
 std::chrono::steady_clock::time_point at_time(Time t) {
   return std::chrono::steady_clock::time_point(std::chrono::microseconds(t));
 }
@@ -57,21 +51,25 @@
              std::function<void(const tcp::endpoint&)> listening)
     : io_(io),
       config_(config),
-      rules_(rules_by_name(config.settings)),
       standing_(take_places(config.state)),
-      journal_(std::move(standing_.own), file_limit()),
+      custody_(io, std::move(standing_.own), file_limit(), config.settings, config.discovery, waits_,
+               [this](Event event) { happened(std::move(event)); }),
       policy_(config.settings, config.seed),
-      figures_(config.settings.classes),
       random_(config.seed),
       wake_timer_(io),
       stop_timer_(io),
       report_timer_(io),
-      notices_(io, config.discovery, [this](const std::string& id) { journal_.done(id); }),
       upstream_(
           io, upstream_limits(config), config.report_fields,
-          [this](const Call& call) { return may_start(call); }, [this](const Call&) { figures_.attempt(); },
+          [this](const Call& call) { return may_start(call); },
+          [this](const Call&) { custody_.figures().attempt(); },
           [this](const AttemptEnded& end, bool began) { ended(end, began); },
           [this](const ProbeEnded& end) { happened(end); }),
+      replies_(custody_, directory_, upstream_,
+               [this] {
+                 const bool serving = clients_ && stopping_since_ == 0 && !handing_;
+                 return Replies::State{serving, clients_ ? clients_->open() : 0, avoided_};
+               }),
       watch_(
           io, config.discovery, config.names, AskTimes(config.settings, config.seed),
           [this, known = config.known.revision] { return std::max(known, directory_.revision()); },
@@ -80,12 +78,13 @@
       open_timer_(io),
       peer_timer_(io) {
   if (config.operator_address) {
-    operator_.emplace(io, *config.operator_address, [this](const std::string& call) { return reply(call); });
+    operator_.emplace(io, *config.operator_address,
+                      [this](const std::string& call) { return replies_.to(call); });
   }
-  waiting_ = journal_.recovered();
+  waiting_ = custody_.journal().recovered();
   if (standing_.left) adopt(*std::exchange(standing_.left, {}));
   told(config_.known);
-  recall(journal_.remembered());
+  recall(custody_.journal().remembered());
   open_timer_.expires_after(std::chrono::microseconds(kFirstWord));
   open_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) open();
@@ -133,15 +132,7 @@
                                {"back_since", wall(memory.back_since)},
                                {"base", memory.base},
                                {"clocks", {now.steady, now.wall, now.boot}}};
-  journal_.remember(kDestination + std::to_string(memory.destination), fact.dump());
-}
-
-// Sites without tenants name none.
-int Relay::tenant_of(const std::string& name) const {
-  const auto& tenants = config_.settings.tenants;
-  if (tenants.empty()) return 0;
-  const auto it = std::ranges::find(tenants, name, &TenantSettings::name);
-  return it == tenants.end() ? -1 : static_cast<int>(it - tenants.begin());
+  custody_.journal().remember(kDestination + std::to_string(memory.destination), fact.dump());
 }
 
 // Only now messages are taken on or resumed: what discovery had to tell at once has been heard.
@@ -152,7 +143,7 @@
 }
 
 void Relay::serve() {
-  resume(std::exchange(waiting_, {}));
+  custody_.resume(std::exchange(waiting_, {}));
   listen();
   report();
 }
@@ -174,80 +165,27 @@
     const Upstream::Broken broken = upstream_.broken();
     const auto text = [](size_t value) { return std::to_string(value); };
     log_info("status",
-             "status: clients " + text(clients_->open()) + ", held " + text(held_.size()) + ", calls " +
-                 text(upstream_.out()) + ", idle connections " + text(upstream_.idle()) + ", notices " +
-                 text(notices_.size()) + ", journal " + text(journal_.live_bytes()) + " bytes; " +
-                 figures_.since_last() + "; connections reset: fresh " + text(broken.fresh) + ", kept " +
-                 text(broken.kept) + " after " + std::to_string(broken.least_idle / kMs) + " ms idle or more",
+             "status: clients " + text(clients_->open()) + ", held " + text(custody_.held().size()) +
+                 ", calls " + text(upstream_.out()) + ", idle connections " + text(upstream_.idle()) +
+                 ", notices " + text(custody_.notices().size()) + ", journal " +
+                 text(custody_.journal().live_bytes()) + " bytes; " + custody_.figures().since_last() +
+                 "; connections reset: fresh " + text(broken.fresh) + ", kept " + text(broken.kept) +
+                 " after " + std::to_string(broken.least_idle / kMs) + " ms idle or more",
              {{"clients", clients_->open()},
-              {"held", held_.size()},
+              {"held", custody_.held().size()},
               {"calls", upstream_.out()},
-              {"notices", notices_.size()},
-              {"journal_bytes", journal_.live_bytes()}});
-    std::erase_if(waits_, [](const auto& wait) { return wait.second.until <= steady_now(); });
+              {"notices", custody_.notices().size()},
+              {"journal_bytes", custody_.journal().live_bytes()}});
+    waits_.sweep(steady_now());
     report();
   });
 }
 
-// Messages from before a restart are the module's to decide on, like any other.
-void Relay::resume(const std::vector<Recovered>& entries, bool pause) {
-  for (const Recovered& entry : entries) {
-    if (entry.owed) {
-      notices_.add(*entry.owed);
-      continue;
-    }
-    const uint64_t number = ++last_number_;
-    Held& held = held_[number];
-    held.handed = entry.message;
-    held.attempts = entry.attempts;
-    held.since = steady_now();
-    held.stage = entry.attempts > 0 ? Stage::kWait : Stage::kQueue;
-    numbers_[entry.message.id] = number;
-    Arrival in;
-    in.id = number;
-    in.rules = entry.message.rules;
-    if (const auto known = rules_.find(entry.message.message_class); !in.rules && known != rules_.end()) {
-      in.rules = held.handed.rules = known->second;
-    }
-    if (!in.rules) {  // nothing is known of what it allows
-      finish(number, Notice{entry.message.id, false, 0});
-      continue;
-    }
-    in.tenant = std::max(0, tenant_of(entry.message.tenant));
-    in.due = held.handed.budget.due();
-    in.destination = entry.message.destination;
-    in.attempts = entry.attempts;
-    in.pause = pause;
-    if (!entry.unsettled.empty()) {
-      const auto& [sent, zone] = entry.unsettled.begin()->second;
-      in.ran = true;
-      in.ran_sent = sent;
-      in.ran_zone = zone;
-    }
-    happened(in);
-  }
-}
-
 void Relay::put(Handed handed, Clients::Answer answer) {
-  if (numbers_.contains(handed.id) || share_.ids.contains(handed.id)) {
-    return answer("+OK");  // sent once more: it is held already
-  }
-  const auto rules = rules_.find(handed.message_class);
-  if (rules == rules_.end()) return answer("-ERR unknown class");
-  const int tenant = tenant_of(handed.tenant);
-  if (tenant < 0) return answer("-ERR unknown tenant");
-  const uint64_t number = ++last_number_;
-  Arrival in;
-  in.id = number;
-  in.rules = handed.rules = rules->second;
-  in.tenant = tenant;
-  in.due = handed.budget.due();
-  in.destination = handed.destination;
-  in.room = journal_.has_room(handed);
-  numbers_[handed.id] = number;
-  held_[number] = {std::move(handed), 0, false, false, Stage::kQueue, steady_now()};
-  pending_.push_back({number, std::move(answer)});
-  happened(in);
+  if (share_.ids.contains(handed.id)) return answer("+OK");  // a predecessor holds it
+  const auto put = custody_.put(std::move(handed));
+  if (const auto* line = std::get_if<std::string>(&put)) return answer(*line);
+  pending_.push_back({std::get<uint64_t>(put), std::move(answer)});
 }
 
 void Relay::told(const HostList& list) {
@@ -255,12 +193,12 @@
   if (!change) return;
   happened(std::move(*change));
   for (const auto& [handle, host] : directory_.hosts()) {
-    journal_.remember(kHost + host.id, host.member.listing == Listing::kGone ? "" : host.text);
+    custody_.journal().remember(kHost + host.id, host.member.listing == Listing::kGone ? "" : host.text);
   }
-  journal_.remember(Journal::kRevision, std::to_string(directory_.revision()));
+  custody_.journal().remember(Journal::kRevision, std::to_string(directory_.revision()));
 }
 
-std::pair<int, Endpoint> Relay::lane_of(const Member& member) const {
+Lane Relay::lane_of(const Member& member) const {
   const auto& kinds = config_.settings.kinds;
   const bool apart = member.kind < static_cast<int>(kinds.size()) && kinds[member.kind].apart;
   return {member.destination, apart ? member.endpoint : Endpoint{}};
@@ -269,89 +207,32 @@
 // The last look before a call's first byte. While its connection came up the host may have been drained, its
 // destination may have told another call to wait, or the message may be over.
 bool Relay::may_start(const Call& call) {
-  const auto held = held_.find(call.id);
+  Custody::Held* held = custody_.find(call.id);
   const ListedHost* host = directory_.find(call.endpoint);
   const Time now = steady_now();
-  if (held == held_.end() || !directory_.active(call.endpoint)) return false;
-  if (now > call.start_by || held->second.handed.budget.over(now)) return false;
-  const auto wait = waits_.find(lane_of(host->member));
-  if (wait != waits_.end() && wait->second.until > now) return false;
-  if (!journal_.attempt(held->second.handed.id, call.attempt, host->member.zone)) return false;
-  enter(held->second, Stage::kAnswer);
-  return true;
-}
-
-// What the operator asks, with whole lines for a reply.
-std::string Relay::reply(const std::string& call) const {
-  if (call == "STATUS") {
-    const bool serving = clients_ && stopping_since_ == 0 && !handing_;
-    return serving ? "OK serving\n" : "ERR not serving\n";
-  }
-  if (call != "METRICS") return "ERR unknown call\n";
-  const auto& hosts = directory_.hosts();
-  const auto listed = std::count_if(hosts.begin(), hosts.end(), [](const auto& entry) {
-    return entry.second.member.listing != Listing::kGone;
-  });
-  Figures::Levels levels;
-  levels.in_flight = held_.size();
-  levels.known = static_cast<size_t>(listed);
-  levels.excluded = avoided_;
-  levels.clients = clients_ ? clients_->open() : 0;
-  levels.calls = upstream_.out();
-  levels.notices = notices_.size();
-  levels.oldest_notice = notices_.oldest();
-  levels.journal = journal_.live_bytes();
-  std::map<int, size_t> queues;
-  for (const auto& [number, held] : held_) {
-    if (held.out) continue;
-    ++levels.queue;
-    levels.deepest = std::max(levels.deepest, ++queues[held.handed.destination]);
-    levels.oldest_queue = std::max(levels.oldest_queue, steady_now() - held.since);
-  }
-  return "OK\n" + figures_.text(levels) + "END\n";
+  if (held == nullptr || !directory_.active(call.endpoint)) return false;
+  if (now > call.start_by || held->handed.budget.over(now)) return false;
+  if (waits_.until(lane_of(host->member)) > now) return false;
+  return custody_.sends(*held, call.attempt, host->member.zone);
 }
 
 void Relay::ended(const AttemptEnded& end, bool began) {
   const bool never = end.outcome == Outcome::kFull || end.outcome == Outcome::kConnectFailed ||
                      end.outcome == Outcome::kMoot;
-  const auto held = held_.find(end.id);
-  if (held != held_.end()) held->second.out = false;
   const ListedHost* host = directory_.find(end.endpoint);
-  if (end.wait > 0 && host != nullptr) wait_told(lane_of(host->member), steady_now() + end.wait);
-  if (held != held_.end()) {
+  if (end.wait > 0 && host != nullptr) waits_.tell(lane_of(host->member), steady_now() + end.wait);
+  if (Custody::Held* held = custody_.find(end.id)) {
+    held->out = false;
     if (end.final) {
-      finish(end.id, {}, Reason::kTime, end.outcome == Outcome::kOk);
+      custody_.finish(end.id, {}, Reason::kTime, end.outcome == Outcome::kOk);
     } else {
       returned_.push_back(end.id);
-      if (began && never) journal_.never_ran(held->second.handed.id, end.attempt);
+      if (began && never) custody_.journal().never_ran(held->handed.id, end.attempt);
     }
   }
   happened(end);
 }
 
-void Relay::wait_told(const std::pair<int, Endpoint>& lane, Time until) {
-  const Time now = steady_now();
-  Wait& wait = waits_[lane];
-  if (wait.until <= now) wait.told = now;
-  wait.until = std::max(wait.until, until);
-}
-
-// Where the message's time goes from now on; what it spent until now is counted. Of the time before the first
-// attempt, a told wait's part is no queue's.
-void Relay::enter(Held& held, Stage next) {
-  const Time now = steady_now();
-  Time spent = now - held.since;
-  const auto wait = waits_.find({held.handed.destination, Endpoint{}});
-  if (held.stage == Stage::kQueue && wait != waits_.end()) {
-    const Time told = std::min(now, wait->second.until) - std::max(held.since, wait->second.told);
-    figures_.spent(Stage::kWait, std::max<Time>(0, told));
-    spent -= std::max<Time>(0, told);
-  }
-  figures_.spent(held.stage, spent);
-  held.stage = next;
-  held.since = now;
-}
-
 void Relay::happened(Event event) {
   events_.push_back(std::move(event));
   if (step_posted_) return;
@@ -369,15 +250,13 @@
   for (const Action& action : actions) carry_out(action);
   // What was given up on just now ended in its attempt; the others wait for another.
   for (const uint64_t number : std::exchange(returned_, {})) {
-    const auto held = held_.find(number);
-    if (held != held_.end() && !held->second.out) enter(held->second, Stage::kWait);
+    Custody::Held* held = custody_.find(number);
+    if (held != nullptr && !held->out) custody_.enter(*held, Stage::kWait);
   }
   arm();
   if (handing_) pass_on();
 }
 
-// A message is the relay's from the moment that its record is written; only then its client is told, and only
-// then it may be sent.
 void Relay::answer_pending(const std::vector<Action>& actions) {
   std::map<uint64_t, const Action*> turned_away;
   if (!pending_.empty()) {
@@ -392,39 +271,17 @@
   std::vector<Pending> pending;
   pending.swap(pending_);
   for (const Pending& item : pending) {
-    const auto held = held_.find(item.number);
-    if (held == held_.end()) continue;
-    const Handed& handed = held->second.handed;
-    std::string line = "+OK";
-    if (const auto away = turned_away.find(item.number); away != turned_away.end()) {
-      if (const auto* refuse = std::get_if<Refuse>(away->second)) {
-        const Time ms = (refuse->retry_after + kMs - 1) / kMs;
-        line = ms > 0 ? "-BUSY " + std::to_string(ms) : "-BUSY";
-        figures_.refused(handed.message_class, Figures::Place::kDoor, refuse->reason);
-      } else {
-        line = "-ERR failed";
-        figures_.failed(handed.message_class);
-      }
-    } else if (!journal_.accepted(handed)) {
-      line = "-BUSY";  // it could not be written, though there seemed to be room
-      figures_.refused(handed.message_class, Figures::Place::kDoor, Reason::kRoom);
-      happened(Withdrawn{item.number});
-    }
-    if (line == "+OK") {
-      figures_.taken();
-    } else {
-      numbers_.erase(handed.id);
-      held_.erase(held);
-    }
-    item.answer(line);
+    if (custody_.find(item.number) == nullptr) continue;
+    const auto away = turned_away.find(item.number);
+    item.answer(custody_.decided(item.number, away == turned_away.end() ? nullptr : away->second));
   }
 }
 
 void Relay::carry_out(const Action& action) {
   if (const auto* send = std::get_if<Send>(&action)) {
-    const auto held = held_.find(send->id);
+    Custody::Held* held = custody_.find(send->id);
     const ListedHost* host = directory_.find(send->endpoint);
-    if (held == held_.end() || host == nullptr) {  // given back in this very turn for want of room
+    if (held == nullptr || host == nullptr) {  // given back in this very turn for want of room
       AttemptEnded moot;
       moot.id = send->id;
       moot.endpoint = send->endpoint;
@@ -435,25 +292,25 @@
     Call call;
     call.id = send->id;
     call.endpoint = send->endpoint;
-    held->second.out = true;
-    call.attempt = held->second.attempts++;
+    held->out = true;
+    call.attempt = held->attempts++;
     call.address = host->address;
-    call.call_id = held->second.handed.id;
-    call.key = held->second.handed.key;
-    call.body = held->second.handed.body;
+    call.call_id = held->handed.id;
+    call.key = held->handed.key;
+    call.body = held->handed.body;
     call.timeout = send->timeout;
     call.start_by = send->start_by;
-    call.budget = held->second.handed.budget;
-    enter(held->second, Stage::kConnect);
+    call.budget = held->handed.budget;
+    custody_.enter(*held, Stage::kConnect);
     upstream_.call(std::move(call));
   } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
-    const auto held = held_.find(refuse->id);
-    if (held != held_.end()) {
-      finish(refuse->id, Notice{held->second.handed.id, true, refuse->retry_after}, refuse->reason);
+    if (const Custody::Held* held = custody_.find(refuse->id)) {
+      custody_.finish(refuse->id, Notice{held->handed.id, true, refuse->retry_after}, refuse->reason);
     }
   } else if (const auto* fail = std::get_if<Fail>(&action)) {
-    const auto held = held_.find(fail->id);
-    if (held != held_.end()) finish(fail->id, Notice{held->second.handed.id, false, 0});
+    if (const Custody::Held* held = custody_.find(fail->id)) {
+      custody_.finish(fail->id, Notice{held->handed.id, false, 0});
+    }
   } else if (const auto* cancel = std::get_if<Cancel>(&action)) {
     upstream_.cancel(cancel->id, cancel->attempt);
   } else if (const auto* probe = std::get_if<Probe>(&action)) {
@@ -472,42 +329,6 @@
   }
 }
 
-// The message is over; with a notice, that is still owed. Neither served nor noticed: a host said it is over.
-void Relay::finish(uint64_t number, std::optional<Notice> notice, Reason reason, bool served) {
-  const auto held = held_.find(number);
-  const std::string& name = held->second.handed.message_class;
-  figures_.ended(held->second.stage);
-  if (served) {
-    figures_.served(name);
-  } else if (notice && notice->returned) {
-    figures_.refused(name, Figures::Place::kHeld, reason);
-  } else {
-    figures_.failed(name);
-  }
-  if (notice) {
-    journal_.owed(*notice);
-    notices_.add(std::move(*notice));
-  } else {
-    journal_.done(held->second.handed.id);
-  }
-  forget(held);
-}
-
-// A class that left the settings goes with the last of its messages.
-void Relay::forget(std::unordered_map<uint64_t, Held>::iterator held) {
-  const std::string name = held->second.handed.message_class;
-  enter(held->second, held->second.stage);
-  numbers_.erase(held->second.handed.id);
-  held_.erase(held);
-  if (!rules_.contains(name)) forget_class(name);
-}
-
-void Relay::forget_class(const std::string& name) {
-  const bool open = std::ranges::any_of(
-      held_, [&](const auto& entry) { return entry.second.handed.message_class == name; });
-  if (!open) figures_.forget(name);
-}
-
 void Relay::arm() {
   if (wakes_.empty()) return;
   wake_timer_.expires_at(at_time(*wakes_.begin()));
@@ -530,32 +351,28 @@
       throw std::invalid_argument(key + " is missing");
     }
   } catch (const std::exception& fault) {
-    figures_.reloaded(false);
+    custody_.figures().reloaded(false);
     log_event(LogLevel::kWarning, "config_kept",
               std::string("configuration is kept as it was: ") + fault.what(), {{"reason", fault.what()}});
     return;
   }
-  figures_.reloaded(true);
+  custody_.figures().reloaded(true);
   const bool moved = next.discovery != config_.discovery;
   next.listen = config_.listen;
   next.inherited = config_.inherited;
   next.operator_address = config_.operator_address;
   config_ = std::move(next);
-  const auto old = std::exchange(rules_, rules_by_name(config_.settings));
-  figures_.show(config_.settings.classes);
-  for (const auto& [name, rules] : old) {
-    if (!rules_.contains(name)) forget_class(name);
-  }
+  custody_.retune(config_.settings);
   upstream_.retune(upstream_limits(config_), config_.report_fields);
   watch_.rename(config_.names);
   apply_share();
   told(renamed_list());
   if (moved) {
     watch_.move(config_.discovery);
-    notices_.move(config_.discovery);
+    custody_.notices().move(config_.discovery);
   }
-  log_info("config_taken", "configuration is taken: " + std::to_string(rules_.size()) + " classes",
-           {{"classes", rules_.size()}});
+  log_info("config_taken", "configuration is taken: " + std::to_string(custody_.classes()) + " classes",
+           {{"classes", custody_.classes()}});
 }
 
 // The list as it is known, read with the names of the settings as they are now.
@@ -585,7 +402,8 @@
     if (clients_) clients_->finish();
   }
   if (handing_) tell_share();
-  const bool idle = held_.empty() && notices_.empty() && (!clients_ || clients_->open() == 0);
+  const bool idle =
+      custody_.held().empty() && custody_.notices().empty() && (!clients_ || clients_->open() == 0);
   if (age >= kLastCall || (closed_ && idle)) return io_.stop();
   stop_timer_.expires_after(std::chrono::microseconds(kStopPoll));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -10,18 +10,14 @@
 #include <random>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "clients.h"
 #include "config.h"
-#include "directory.h"
-#include "discovery.h"
-#include "figures.h"
+#include "custody.h"
 #include "handover.h"
-#include "journal.h"
 #include "operator.h"
-#include "upstream.h"
+#include "replies.h"
 
 namespace firspool::relay {
 
@@ -39,18 +35,6 @@
   void stop();
 
  private:
-  struct Held {
-    Handed handed;
-    int attempts = 0;
-    bool out = false;     // its call is
-    bool passed = false;  // to the successor, which has not said yet that it is written
-    Stage stage = Stage::kQueue;
-    Time since = 0;  // when that began
-  };
-  struct Wait {  // told by a destination
-    Time told = 0;
-    Time until = 0;
-  };
   // Whose journals there are in the folder at the start.
   struct Standing {
     Place own;
@@ -74,25 +58,16 @@
   void open();
   void serve();
   void listen();
-  void resume(const std::vector<Recovered>& entries, bool pause = false);
   void remember(const DestinationMemory& memory);
-  int tenant_of(const std::string& name) const;
   void put(Handed handed, Clients::Answer answer);
   void told(const HostList& list);
   bool may_start(const Call& call);
-  std::string reply(const std::string& call) const;
   void ended(const AttemptEnded& end, bool began);
   void happened(Event event);
   void step();
   void answer_pending(const std::vector<Action>& actions);
   void carry_out(const Action& action);
-  void finish(uint64_t number, std::optional<Notice> notice, Reason reason = Reason::kTime,
-              bool served = false);
   std::string busy_line();
-  void enter(Held& held, Stage next);
-  void wait_told(const std::pair<int, Endpoint>& lane, Time until);
-  void forget(std::unordered_map<uint64_t, Held>::iterator held);
-  void forget_class(const std::string& name);
   HostList renamed_list() const;
   size_t client_limit() const;
   void arm();
@@ -115,28 +90,22 @@
   void passed_on(const std::string& id);
   void successor_lost();
 
-  std::pair<int, Endpoint> lane_of(const Member& member) const;
+  Lane lane_of(const Member& member) const;
 
   boost::asio::io_context& io_;
   Config config_;
   Directory directory_;
-  std::map<std::string, std::shared_ptr<const MessageRules>> rules_;  // of the settings as they are now
-  Share share_;                                                       // of a predecessor
+  Share share_;  // of a predecessor
   Standing standing_;
-  Journal journal_;
+  ToldWaits waits_;
+  Custody custody_;
   Policy policy_;
-  Figures figures_;
   std::mt19937_64 random_;
   size_t avoided_ = 0;  // listed hosts that the module passes over
-  std::optional<Operator> operator_;
   std::vector<Event> events_;
   std::vector<Pending> pending_;
   std::vector<uint64_t> returned_;  // their attempts ended since the last step
   bool step_posted_ = false;
-  uint64_t last_number_ = 0;
-  std::unordered_map<uint64_t, Held> held_;
-  std::unordered_map<std::string, uint64_t> numbers_;
-  std::map<std::pair<int, Endpoint>, Wait> waits_;  // nothing goes there meanwhile
   std::set<Time> wakes_;
   boost::asio::steady_timer wake_timer_;
   boost::asio::steady_timer stop_timer_;
@@ -148,8 +117,9 @@
   std::set<std::string> taken_over_;  // from a predecessor: its journal may name them still
   std::vector<Recovered> waiting_;    // from before: resumed once this process serves
   std::shared_ptr<Link> link_;        // to the other process
-  Notices notices_;
   Upstream upstream_;
+  Replies replies_;
+  std::optional<Operator> operator_;
   Watch watch_;
   std::function<void(const tcp::endpoint&)> listening_;
   boost::asio::steady_timer open_timer_;
--- a/relay/upgrade.cpp
+++ b/relay/upgrade.cpp
@@ -39,20 +39,20 @@
 // What the other process left is this one's now.
 void Relay::adopt(Place left) {
   const std::string bytes = left.read();
-  std::vector<Recovered> entries = journal_.adopt(bytes, taken_over_);
+  std::vector<Recovered> entries = custody_.journal().adopt(bytes, taken_over_);
   if (!entries.empty()) {
     log_info("taken_over", std::to_string(entries.size()) + " messages taken over from a journal",
              {{"messages", entries.size()}});
   }
   left.remove();
-  if (clients_) return resume(entries);
+  if (clients_) return custody_.resume(entries);
   waiting_.insert(waiting_.end(), entries.begin(), entries.end());
 }
 
 // Until the other process ends or says what may be used beside it, it serves and this one does not.
 void Relay::succeed() {
   if (link_ || stopping_since_ != 0) return;
-  if (auto left = Place::take(config_.state, 1 - journal_.place())) {
+  if (auto left = Place::take(config_.state, 1 - custody_.journal().place())) {
     standing_.predecessor = false;
     share_ = {};
     apply_share();
@@ -61,7 +61,7 @@
     if (!clients_) serve();
     return;
   }
-  if (!clients_) link_ = Handover::reach(io_, config_.state, 1 - journal_.place());
+  if (!clients_) link_ = Handover::reach(io_, config_.state, 1 - custody_.journal().place());
   if (link_) {
     link_->start([this](Word word, const std::string& text) { heard_as_successor(word, text); },
                  [this] {
@@ -80,11 +80,11 @@
   if (word == Word::kShare) return take_share(text);
   if (word != Word::kMessage) return;
   const std::string id = text.substr(0, text.find('\n'));
-  const auto entries = journal_.adopt(std::string_view(text).substr(id.size() + 1));
+  const auto entries = custody_.journal().adopt(std::string_view(text).substr(id.size() + 1));
   if (entries.empty()) return;  // no room: the predecessor keeps it, and leaves it behind in its journal
   taken_over_.insert(id);
   link_->say(Word::kWritten, id);
-  resume(entries, true);
+  custody_.resume(entries, true);
 }
 
 void Relay::take_share(const std::string& text) {
@@ -98,7 +98,7 @@
   if (!clients_) {
     const auto facts = said.at("facts").get<std::map<std::string, std::string>>();
     for (const auto& [name, value] : facts) {
-      if (!journal_.remembered().contains(name)) journal_.remember(name, value);
+      if (!custody_.journal().remembered().contains(name)) custody_.journal().remember(name, value);
     }
     recall(facts);
   }
@@ -115,10 +115,10 @@
     const WaitTold told{
         wait.at("cell").get<int>(), endpoint,
         steady ? wait.at("steady").get<Time>() : wait.at("until").get<Time>() + now.steady - now.wall};
-    const auto known = waits_.find({told.destination, told.endpoint});
+    const Lane lane{told.destination, told.endpoint};
     // Wall clocks are read anew each time.
-    if (known != waits_.end() && told.until <= known->second.until + 1000) continue;
-    wait_told({told.destination, told.endpoint}, told.until);
+    if (const Time known = waits_.until(lane); known != 0 && told.until <= known + 1000) continue;
+    waits_.tell(lane, told.until);
     happened(told);
   }
   if (!clients_) serve();
@@ -130,13 +130,13 @@
   now.settings.slots -= std::min(now.settings.slots, static_cast<int>(share_.calls));
   now.settings.max_open -= std::min(now.settings.max_open, static_cast<int>(share_.held));
   happened(std::move(now));
-  if (!handing_) journal_.limit(file_limit());
+  if (!handing_) custody_.journal().limit(file_limit());
   if (clients_) clients_->limit(client_limit());
 }
 
 void Relay::await_successor() {
   try {
-    handover_.emplace(io_, config_.state, journal_.place(),
+    handover_.emplace(io_, config_.state, custody_.journal().place(),
                       [this](std::shared_ptr<Link> link) { asked(std::move(link)); });
   } catch (const std::exception& fault) {  // it can still wait for this process to end
     log_event(LogLevel::kWarning, "successor_cannot_ask",
@@ -160,13 +160,13 @@
 
 void Relay::hand_over() {
   log_info("successor_takes_over",
-           "a successor takes over: " + std::to_string(held_.size()) + " messages held, " +
+           "a successor takes over: " + std::to_string(custody_.held().size()) + " messages held, " +
                std::to_string(upstream_.out()) + " calls out",
-           {{"held", held_.size()}, {"calls", upstream_.out()}});
+           {{"held", custody_.held().size()}, {"calls", upstream_.out()}});
   handing_ = closed_ = true;
   clients_->finish();
   upstream_.close_all_idle();
-  share_.file = journal_.freeze();
+  share_.file = custody_.journal().freeze();
   told_share_.clear();
   happened(Closing{steady_now()});  // starts no call, and lets those that are out end
   tell_share();
@@ -177,29 +177,29 @@
 void Relay::pass_on() {
   tell_share();  // waits told by now go ahead of the messages that must heed them
   if (!link_) return;
-  for (auto& [number, held] : held_) {
+  for (auto& [number, held] : custody_.held()) {
     if (held.out || held.passed) continue;
     held.passed = true;
     happened(Withdrawn{number});
-    link_->say(Word::kMessage, held.handed.id + "\n" + journal_.records(held.handed.id));
+    link_->say(Word::kMessage, held.handed.id + "\n" + custody_.journal().records(held.handed.id));
   }
 }
 
 void Relay::passed_on(const std::string& id) {
-  const auto number = numbers_.find(id);
-  if (number == numbers_.end()) return;
-  journal_.done(id);
-  forget(held_.find(number->second));
+  const auto number = custody_.number_of(id);
+  if (!number) return;
+  custody_.journal().done(id);
+  custody_.forget(*number);
 }
 
 void Relay::tell_share() {
   // One that does not read hears the newest when it does again.
   if (!link_ || link_->unsent() > kMostUnsent) return;
   nlohmann::json ids = nlohmann::json::array();
-  for (const auto& [id, number] : numbers_) ids.push_back(id);
+  for (const auto& [id, number] : custody_.numbers()) ids.push_back(id);
   const Instant now = instant_now();
   nlohmann::json waits = nlohmann::json::array();
-  for (const auto& [lane, wait] : waits_) {
+  for (const auto& [lane, wait] : waits_.all()) {
     if (wait.until <= now.steady) continue;
     const ListedHost* host = directory_.find(lane.second);
     waits.push_back({{"cell", lane.first},
@@ -207,15 +207,15 @@
                      {"until", wait.until + now.wall - now.steady},
                      {"steady", wait.until}});
   }
-  const nlohmann::json share = {
-      {"calls", upstream_.out()},
-      {"held", held_.size()},
-      {"clients", clients_->open()},
-      {"file", share_.file},
-      {"ids", ids},
-      {"boot", now.boot},
-      {"waits", waits},
-      {"facts", told_share_.empty() ? journal_.remembered() : std::map<std::string, std::string>{}}};
+  const nlohmann::json share = {{"calls", upstream_.out()},
+                                {"held", custody_.held().size()},
+                                {"clients", clients_->open()},
+                                {"file", share_.file},
+                                {"ids", ids},
+                                {"boot", now.boot},
+                                {"waits", waits},
+                                {"facts", told_share_.empty() ? custody_.journal().remembered()
+                                                              : std::map<std::string, std::string>{}}};
   std::string text = share.dump();
   if (text == told_share_) return;
   link_->say(Word::kShare, text);
@@ -225,7 +225,7 @@
 // It took over and is gone: this process serves again, with what the other had.
 void Relay::successor_lost() {
   if (stopping_since_ != 0) return;
-  auto left = Place::take(config_.state, 1 - journal_.place());
+  auto left = Place::take(config_.state, 1 - custody_.journal().place());
   if (!left) {
     peer_timer_.expires_after(kPeerPause);
     peer_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -236,22 +236,22 @@
   log_event(LogLevel::kWarning, "successor_gone", "the successor is gone: serving again");
   handing_ = closed_ = false;
   share_ = {};
-  journal_.limit(file_limit());
+  custody_.journal().limit(file_limit());
   happened(Closing{std::numeric_limits<Time>::max()});
   // A message that it had written may have been sent by it: its records count, not the ones here.
-  for (const Recovered& entry : journal_.read(left->read())) passed_on(entry.message.id);
+  for (const Recovered& entry : custody_.journal().read(left->read())) passed_on(entry.message.id);
   adopt(std::move(*left));
   std::vector<Recovered> again;
-  for (auto it = held_.begin(); it != held_.end();) {
-    const auto held = it++;
-    if (!held->second.passed) continue;
-    for (Recovered& entry : journal_.read(journal_.records(held->second.handed.id))) {
+  std::vector<uint64_t> passed;
+  for (const auto& [number, held] : custody_.held()) {
+    if (!held.passed) continue;
+    passed.push_back(number);
+    for (Recovered& entry : custody_.journal().read(custody_.journal().records(held.handed.id))) {
       again.push_back(std::move(entry));
     }
-    numbers_.erase(held->second.handed.id);
-    held_.erase(held);
   }
-  resume(again);
+  for (const uint64_t number : passed) custody_.forget(number);
+  custody_.resume(again);
   clients_.reset();
   listen();
 }
