Build the lab: real relays under faults in one command, with oracles from outside

Cause: nothing here could start several relays, break things between them, and say whether what was promised held.

Twelve oracles hear only clients, partners, discovery and the kernel.

--- /dev/null
+++ b/lab/clients.cpp
@@ -0,0 +1,314 @@
+#include "clients.h"
+
+#include <xxhash.h>
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+namespace umberhoist::lab {
+namespace {
+
+using Error = boost::system::error_code;
+
+constexpr double kAnswerWithin = 0.4;
+constexpr Range kLostAfter = {0.81, 2.0};  // what a lost machine held comes again
+constexpr int kMostIdle = 64;
+
+std::string hex(uint64_t value) {
+  char out[17];
+  std::snprintf(out, sizeof out, "%016llx", static_cast<unsigned long long>(value));
+  return out;
+}
+
+std::string resp(const std::vector<std::string>& words) {
+  std::string out = "*" + std::to_string(words.size()) + "\r\n";
+  for (const std::string& word : words) out += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
+  return out;
+}
+
+Effect effect_of(const std::string& name) {
+  return name == "safe" ? Effect::kSafe : name == "keyed" ? Effect::kKeyed : Effect::kUnsafe;
+}
+
+}  // namespace
+
+class Clients::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  using Done = std::function<void(const std::string& line, bool timed_out)>;  // empty line: it ended
+
+  explicit Connection(World& world) : world_(world), socket_(world.io), timer_(world.io) {}
+
+  void open(const tcp::endpoint& at, std::function<void(bool)> then) {
+    socket_.async_connect(at, [self = shared_from_this(), then = std::move(then)](const Error& error) {
+      Error ignored;
+      if (!error) self->socket_.set_option(tcp::no_delay(true), ignored);
+      then(!error);
+    });
+  }
+
+  void ask(const std::string& request, Done done) {
+    done_ = std::move(done);
+    out_ = request;
+    timer_.expires_after(std::chrono::milliseconds(static_cast<int>(kAnswerWithin * 1000)));
+    timer_.async_wait([self = shared_from_this()](const Error& error) {
+      if (!error) self->end("", true);
+    });
+    boost::asio::async_write(socket_, boost::asio::buffer(out_),
+                             [self = shared_from_this()](const Error& error, size_t) {
+                               if (error) self->end("", false);
+                             });
+    boost::asio::async_read_until(socket_, boost::asio::dynamic_buffer(in_, 512), '\n',
+                                  [self = shared_from_this()](const Error& error, size_t count) {
+                                    if (error) return self->end("", false);
+                                    const std::string line = self->in_.substr(0, count);
+                                    self->in_.erase(0, count);
+                                    self->end(line.substr(0, line.find_first_of("\r\n")), false);
+                                  });
+  }
+
+  void close() {
+    Error ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+  }
+  bool open() const { return socket_.is_open(); }
+
+ private:
+  void end(const std::string& line, bool timed_out) {
+    if (!done_) return;
+    timer_.cancel();
+    if (line.empty()) close();
+    std::exchange(done_, nullptr)(line, timed_out);
+  }
+
+  World& world_;
+  tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  std::string in_;
+  std::string out_;
+  Done done_;
+};
+
+Clients::Clients(World& world, Fleet& fleet)
+    : world_(world),
+      fleet_(fleet),
+      messages_(world.plan.messages.size()),
+      alive_(fleet.size(), true),
+      lives_(fleet.size(), 0),
+      idle_(fleet.size()),
+      timer_(world.io) {
+  world.delivered = [this](const std::string& id) { delivered(id); };
+  world.noticed = [this](const std::string& id, bool returned, double after) {
+    noticed(id, returned, after);
+  };
+  fleet.up = [this](int relay) {
+    ++lives_[static_cast<size_t>(relay)];
+    alive_[static_cast<size_t>(relay)] = true;
+  };
+  fleet.went = [this](int relay) {
+    const size_t r = static_cast<size_t>(relay);
+    const int life = ++lives_[r];
+    world_.after(world_.scenario.load.notice_s.draw(world_.chance), [this, r, life] {
+      if (lives_[r] == life) alive_[r] = false;
+    });
+  };
+  fleet.lost = [this](int relay) { lost(relay); };
+}
+
+Clients::~Clients() {
+  for (auto& pool : idle_) {
+    for (const auto& connection : pool) connection->close();
+  }
+}
+
+void Clients::start() { arrive(); }
+
+void Clients::arrive() {
+  const auto& planned = world_.plan.messages;
+  while (next_ < planned.size() && planned[next_].at <= world_.now()) {
+    const size_t m = next_++;
+    ++open_;
+    messages_[m].key = hex(world_.chance());
+    world_.figures.asked(m);
+    hand_in(m, false, false);
+  }
+  if (next_ >= planned.size()) return;
+  timer_.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(
+      std::chrono::duration<double>(std::max(0.0, planned[next_].at - world_.now()))));
+  timer_.async_wait([this](const Error& error) {
+    if (!error) arrive();
+  });
+}
+
+int Clients::pick() {
+  std::vector<int> from;
+  for (size_t i = 0; i < alive_.size(); ++i) {
+    if (alive_[i]) from.push_back(static_cast<int>(i));
+  }
+  if (from.empty()) return -1;
+  return from[std::uniform_int_distribution<size_t>(0, from.size() - 1)(world_.chance)];
+}
+
+double Clients::back_off(int tries) {
+  return world_.scenario.load.backoff_s * std::pow(2.0, std::max(0, tries - 1)) * (0.5 + world_.unit());
+}
+
+void Clients::hand_in(size_t m, bool refused, bool silent) {
+  Message& message = messages_[m];
+  if (message.over) return;
+  const PlannedMessage& planned = world_.plan.messages[m];
+  const ClassSpec& c = world_.scenario.classes[static_cast<size_t>(planned.message_class)];
+  const double now = world_.now();
+  const double due = planned.at + c.give_up_s;
+  if (now >= due - 0.001) return finish(m);
+  const int relay = pick();
+  if (relay < 0) return again(m, 0.2, false, false);
+  auto one = std::make_shared<Try>();
+  one->message = m;
+  one->relay = relay;
+  one->id = hex(world_.chance());
+  const Effect effect = effect_of(c.effect);
+  const std::string key = effect == Effect::kKeyed ? message.key : "";
+  std::string facts = "c=" + c.name;
+  if (!world_.scenario.tenants.empty()) {
+    facts += ",t=" + world_.scenario.tenants[static_cast<size_t>(planned.tenant)].name;
+  }
+  facts += ",d=" + std::to_string(static_cast<int64_t>((due - now) * 1000));
+  if (!key.empty()) facts += ",k=" + key;
+  facts += ",dest=" + std::to_string(planned.destination);
+  if (refused) facts += ",r=1";
+  if (silent) facts += ",again=1";
+  std::string body = "{\"session\":\"" + one->id + "\"}";
+  body.resize(std::max(body.size(), static_cast<size_t>(world_.scenario.load.body_bytes)), ' ');
+  one->request = resp({"MSG.PUT", "0000000000000000", one->id, facts, body});
+  HandIn hand;
+  hand.relay = relay;
+  hand.effect = effect;
+  hand.key_ttl = c.key_ttl_s;
+  hand.destination = planned.destination;
+  hand.due = due;
+  hand.body = XXH64(body.data(), body.size(), 0);
+  hand.key = key;
+  world_.oracles.handed_in(one->id, std::move(hand));
+  tries_[one->id] = one;
+  if (refused || silent) ++message.tries;
+  send(one, false);
+}
+
+void Clients::send(const std::shared_ptr<Try>& one, bool fresh) {
+  auto& pool = idle_[static_cast<size_t>(one->relay)];
+  const auto ask = [this, one](const std::shared_ptr<Connection>& connection, bool kept) {
+    if (world_.scenario.load.impatient > 0 && world_.unit() < world_.scenario.load.impatient) {
+      world_.after(0.2 * world_.unit(), [connection] { connection->close(); });
+      world_.figures.withdrawn(one->message);
+      finish(one->message);
+    }
+    connection->ask(one->request, [this, one, connection, kept](const std::string& line, bool timed_out) {
+      if (!line.empty()) {
+        auto& free = idle_[static_cast<size_t>(one->relay)];
+        if (connection->open() && static_cast<int>(free.size()) < kMostIdle) free.push_back(connection);
+        return heard(one, line);
+      }
+      if (timed_out) return unheard(one, Answer::kSilent);
+      // The close crossed the request: it goes once more, on a new connection.
+      if (kept && !one->resent && fleet_.serving(one->relay)) {
+        one->resent = true;
+        return send(one, true);
+      }
+      const bool left = messages_[one->message].over;
+      unheard(one, left || fleet_.away(one->relay) ? Answer::kGone : Answer::kClosed);
+    });
+  };
+  while (!fresh && !pool.empty()) {
+    const auto connection = pool.back();
+    pool.pop_back();
+    if (connection->open()) return ask(connection, true);
+  }
+  auto connection = std::make_shared<Connection>(world_);
+  connection->open(fleet_.address(one->relay), [this, one, connection, ask](bool up) {
+    if (up) return ask(connection, false);
+    unheard(one, Answer::kGone);
+  });
+}
+
+void Clients::heard(const std::shared_ptr<Try>& one, const std::string& line) {
+  const double now = world_.now();
+  if (line.front() == '+' || line.front() == '$') {
+    one->taken = true;
+    world_.oracles.answered(now, one->id, Answer::kTaken);
+    if (one->delivered) delivered(one->id);
+    return;
+  }
+  one->over = true;
+  if (!line.starts_with("-BUSY")) {
+    world_.oracles.answered(now, one->id, Answer::kFailed);
+    world_.figures.failed(now);
+    return finish(one->message);
+  }
+  world_.oracles.answered(now, one->id, Answer::kRefused);
+  world_.figures.refused(now);
+  const double told = line.size() > 6 ? std::strtod(line.c_str() + 6, nullptr) / 1000 : 0;
+  const int tries = messages_[one->message].tries;
+  const bool heeds = told > 0 && world_.unit() < world_.scenario.load.honour;
+  again(one->message, heeds ? told : back_off(tries), true, false);
+}
+
+void Clients::unheard(const std::shared_ptr<Try>& one, Answer how) {
+  one->over = true;
+  world_.oracles.answered(world_.now(), one->id, how);
+  again(one->message, how == Answer::kGone ? 0.05 + 0.1 * world_.unit() : back_off(0), false, true);
+}
+
+// Comes again after a while, if its client has not given up. A relay that is not there costs no try.
+void Clients::again(size_t m, double after, bool refused, bool silent) {
+  if (messages_[m].tries >= world_.scenario.load.retries + (silent ? 10 : 0)) return finish(m);
+  world_.after(after, [this, m, refused, silent] { hand_in(m, refused, silent); });
+}
+
+void Clients::finish(size_t m) {
+  if (std::exchange(messages_[m].over, true)) return;
+  --open_;
+}
+
+void Clients::delivered(const std::string& id) {
+  const auto it = tries_.find(id);
+  if (it == tries_.end()) return;
+  const auto& one = it->second;
+  one->delivered = true;
+  if (!one->taken || one->over) return;
+  one->over = true;
+  world_.figures.served(one->message, world_.now(), one->relay);
+  finish(one->message);
+}
+
+void Clients::noticed(const std::string& id, bool returned, double after) {
+  const auto it = tries_.find(id);
+  if (it == tries_.end() || it->second->over) return;
+  const auto& one = it->second;
+  one->over = true;
+  if (!returned) {
+    world_.figures.failed(world_.now());
+    return finish(one->message);
+  }
+  world_.figures.returned(world_.now());
+  const bool heeds = after > 0 && world_.unit() < world_.scenario.load.honour;
+  again(one->message, heeds ? after : back_off(messages_[one->message].tries), true, false);
+}
+
+// Its machine's disk is gone: what it held comes to others, unless it may have taken effect and may not be
+// repeated.
+void Clients::lost(int relay) {
+  for (const auto& [id, one] : tries_) {
+    if (one->relay != relay || one->over || !one->taken) continue;
+    one->over = true;
+    const auto& c =
+        world_.scenario.classes[static_cast<size_t>(world_.plan.messages[one->message].message_class)];
+    if (c.effect == "unsafe") {
+      finish(one->message);
+    } else {
+      again(one->message, kLostAfter.draw(world_.chance), false, true);
+    }
+  }
+}
+
+}  // namespace umberhoist::lab
--- /dev/null
+++ b/lab/play.cpp
@@ -0,0 +1,269 @@
+#include "play.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "clients.h"
+
+namespace umberhoist::lab {
+namespace {
+
+namespace fs = std::filesystem;
+using nlohmann::json;
+
+double own_cpu() {
+  rusage used{};
+  ::getrusage(RUSAGE_SELF, &used);
+  const auto seconds = [](const timeval& t) {
+    return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+  };
+  return seconds(used.ru_utime) + seconds(used.ru_stime);
+}
+
+// As many as the hard limit allows: a play of thirty relays holds some thousands.
+void raise_descriptors() {
+  rlimit limit{};
+  ::getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = limit.rlim_max;
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+}
+
+class Play {
+ public:
+  Play(const Scenario& scenario, const PlayOptions& options)
+      : scenario_(scenario),
+        options_(options),
+        plan_(draw(scenario, options.seed)),
+        world_(io_, scenario_, plan_) {
+    if (scenario.relays > 30)
+      throw Unusable("relays is over 30: more than a machine plays in real time (see sim)");
+    if (::access(options.program.c_str(), X_OK) != 0) {
+      throw Unusable("the relay program " + options.program + " cannot be run");
+    }
+    if (scenario.relay.others > 0 && ::access(scenario.relay.other.c_str(), X_OK) != 0) {
+      throw Unusable("relay.other " + scenario.relay.other + " cannot be run");
+    }
+    for (int i = 0; i < scenario.partners.count; ++i)
+      partners_.push_back(std::make_unique<Partner>(world_, i));
+    for (int i = 0; i < scenario.relays; ++i)
+      agents_.push_back(std::make_unique<Discovery>(world_, i, partners_));
+    if (scenario.fleet) network_ = std::make_unique<PairNetwork>(world_, scenario.relays);
+    fleet_ = std::make_unique<Fleet>(world_, options.folder, options.program, agents_, network_.get());
+    clients_ = std::make_unique<Clients>(world_, *fleet_);
+  }
+
+  json run() {
+    say("starting " + std::to_string(scenario_.relays) + " relays");
+    fleet_->start([this] { begin(); });
+    boost::asio::signal_set stopped(io_, SIGINT, SIGTERM);
+    stopped.async_wait([this](const boost::system::error_code& error, int) {
+      if (error) return;
+      interrupted_ = true;
+      io_.stop();
+    });
+    io_.run();
+    if (interrupted_) throw Unusable("interrupted: what was started has been ended");
+    return result_;
+  }
+
+ private:
+  void say(const std::string& what) const {
+    if (!options_.quiet) std::fprintf(stderr, "%6.1f s  %s\n", begun_ ? world_.now() : 0.0, what.c_str());
+  }
+
+  void begin() {
+    begun_ = true;
+    world_.begin();
+    cpu_ = own_cpu();
+    say("all serve; " + std::to_string(plan_.messages.size()) + " messages in " +
+        std::to_string(static_cast<int>(scenario_.length_s)) + " s");
+    for (const Fault& fault : plan_.faults) {
+      world_.after(fault.at, [this, &fault] {
+        say(fault.text());
+        strike(fault);
+      });
+    }
+    clients_->start();
+    progress();
+    world_.after(scenario_.length_s, [this] { settle(); });
+  }
+
+  // Long plays show that they go on.
+  void progress() {
+    world_.after(10, [this] {
+      if (over_) return;
+      say("...");
+      progress();
+    });
+  }
+
+  void strike(const Fault& f) {
+    if (f.kind == "partner") {
+      for (const int p : f.targets) partner(p).trouble(f.state, f.factor, f.lasts);
+    } else if (f.kind == "limit") {
+      for (const int p : f.targets) {
+        partner(p).lower_limit(f.factor);
+        if (f.lasts > 0) world_.after(f.lasts, [this, p] { partner(p).lower_limit(1); });
+      }
+    } else if (f.kind == "drain") {
+      for (const int p : f.targets) drain(p);
+    } else if (f.kind == "net") {
+      strike_network(f);
+    } else {
+      for (const int r : f.targets) strike_relay(f, r);
+    }
+  }
+
+  void strike_relay(const Fault& f, int r) {
+    if (f.kind == "kill") fleet_->kill(r, f.lasts, f.folder);
+    if (f.kind == "term") fleet_->term(r, f.lasts, f.folder);
+    if (f.kind == "stop") fleet_->pause(r, f.lasts);
+    if (f.kind == "disk") fleet_->fill_disk(r, f.lasts);
+    if (f.kind == "discovery") {
+      Discovery& agent = *agents_[static_cast<size_t>(r)];
+      agent.mute(true);
+      world_.after(f.lasts, [&agent] { agent.mute(false); });
+    }
+  }
+
+  void strike_network(const Fault& f) {
+    if (!network_) return;  // relays do not talk in this scenario
+    const bool cut = f.loss == 0 && f.delay == 0 && f.duplicate == 0 && f.reorder == 0;
+    if (cut) {
+      network_->cut(f.targets, f.one_way);
+    } else {
+      network_->disturb(f.targets, {f.loss, f.delay, f.duplicate, f.reorder, false});
+    }
+    world_.after(f.lasts, [this] { network_->heal(); });
+  }
+
+  // An endpoint is replaced: the new one is told soon, the drain later, the machine is gone after that.
+  void drain(int p) {
+    if (partner(p).replace_one().empty()) return;
+    tell(0.31, 4.3);
+    const double gone = scenario_.partners.drain_grace_s + 6;
+    world_.after(gone, [this, p] {
+      partner(p).remove_left();
+      tell(0.31, 1.8);
+    });
+  }
+
+  void tell(double soonest, double latest) {
+    for (const auto& agent : agents_) agent->changed(Range{soonest, latest}.draw(world_.chance));
+  }
+
+  Partner& partner(int p) { return *partners_[static_cast<size_t>(p)]; }
+
+  void settle() {
+    if (!clients_->idle() && world_.now() < scenario_.length_s + scenario_.settle_s) {
+      return world_.after(0.1, [this] { settle(); });
+    }
+    over_ = true;
+    end_ = world_.now();
+    world_.figures.lab_used((own_cpu() - cpu_) / std::max(0.1, end_));
+    world_.oracles.finish(end_);
+    say("ending the relays");
+    fleet_->end([this] { done(); });
+  }
+
+  void done() {
+    json oracles;
+    for (const auto& [name, state] : world_.oracles.states()) {
+      oracles[name] = {{"held", state.broken == 0},
+                       {"checked", state.checked},
+                       {"first_broken", state.broken == 0 ? json(nullptr) : json(state.first)}};
+      if (state.broken > 0) oracles[name]["broken"] = state.broken;
+    }
+    json faults = json::array();
+    for (const Fault& f : plan_.faults) {
+      faults.push_back({{"at", f.at}, {"until", f.at + f.lasts}, {"what", f.text()}});
+    }
+    result_ = world_.figures.result(end_);
+    result_["scenario"] = scenario_.name;
+    result_["what"] = scenario_.what;
+    result_["seed"] = options_.seed;
+    result_["relays"] = scenario_.relays;
+    result_["program"] = options_.program;
+    result_["length_s"] = scenario_.length_s;
+    result_["plan"] = std::to_string(plan_.digest());
+    result_["oracles"] = oracles;
+    result_["faults"] = faults;
+    result_["warnings"] = warnings();
+    io_.stop();
+  }
+
+  // From here on the machine is what is measured.
+  json warnings() const {
+    json out = json::array();
+    const json& f = result_["figures"];
+    const double lab = f["cpu_lab_cores"].get<double>();
+    const double all = lab + f["cpu_relays_cores"].get<double>();
+    const double cores = std::max(1u, std::thread::hardware_concurrency());
+    char text[160];
+    if (lab > 0.7) {
+      std::snprintf(text, sizeof text,
+                    "the lab itself used %.2f of its one core: times are the machine's, not the relays'",
+                    lab);
+      out.push_back(text);
+    }
+    if (all > 0.8 * cores) {
+      std::snprintf(text, sizeof text,
+                    "lab and relays used %.1f of %.0f cores: the machine is what is measured", all, cores);
+      out.push_back(text);
+    }
+    return out;
+  }
+
+  const Scenario& scenario_;
+  const PlayOptions& options_;
+  boost::asio::io_context io_{1};
+  Plan plan_;
+  World world_;
+  std::vector<std::unique_ptr<Partner>> partners_;
+  std::vector<std::unique_ptr<Discovery>> agents_;
+  std::unique_ptr<PairNetwork> network_;
+  std::unique_ptr<Fleet> fleet_;
+  std::unique_ptr<Clients> clients_;
+  bool begun_ = false;
+  bool over_ = false;
+  bool interrupted_ = false;
+  double end_ = 0;
+  double cpu_ = 0;
+  json result_;
+};
+
+}  // namespace
+
+json play(const Scenario& scenario, const PlayOptions& options) {
+  raise_descriptors();
+  try {
+    fs::create_directories(options.folder);
+    for (int i = 0; i < scenario.relays; ++i) {
+      fs::remove_all(fs::path(options.folder) / ("relay-" + std::to_string(i)));
+    }
+    if (std::ofstream probe(fs::path(options.folder) / "result.json"); !probe.put('\n').flush()) {
+      throw Unusable("cannot write to " + options.folder + " (is the disk full?)");
+    }
+    Play one(scenario, options);
+    return one.run();
+  } catch (const boost::system::system_error& fault) {
+    throw Unusable(std::string("the lab cannot use its sockets: ") + fault.what());
+  } catch (const fs::filesystem_error& fault) {
+    throw Unusable(fault.what());
+  }
+}
+
+bool all_held(const json& result) {
+  for (const auto& [name, state] : result.at("oracles").items()) {
+    if (!state.at("held").get<bool>()) return false;
+  }
+  return true;
+}
+
+}  // namespace umberhoist::lab
