--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -45,8 +45,8 @@
   for (size_t i = 0; i < relays_.size(); ++i) {
     relays_[i].program =
         static_cast<int>(i) < world.scenario.relay.others ? world.scenario.relay.other : program;
-    // An address that was free a moment ago, and stays the relay's over its restarts.
-    relays_[i].listen = tcp::acceptor(world.io, loopback()).local_endpoint();
+    relays_[i].listen = world.ports.take();
+    relays_[i].second = world.ports.take();
   }
 }
 
@@ -128,7 +128,10 @@
                 {"disk_mb", s.relay.disk_mb}}},
               {"known", agents_.at(static_cast<size_t>(relay))->known()},
               {"settings", settings}};
-  if (network_ != nullptr) out["fleet"] = network_->section(relay);
+  if (network_ != nullptr) {
+    out["fleet"] = network_->section(relay);
+    out["operator"] = text_of(relays_.at(static_cast<size_t>(relay)).second);
+  }
   return out;
 }
 
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -24,6 +24,9 @@
 
   size_t size() const { return relays_.size(); }
   tcp::endpoint address(int relay) const { return relays_.at(static_cast<size_t>(relay)).listen; }
+  const tcp::endpoint& second_address(int relay) const {
+    return relays_.at(static_cast<size_t>(relay)).second;
+  }
   bool serving(int relay) const { return relays_.at(static_cast<size_t>(relay)).state == State::kUp; }
   bool away(int relay) const { return !serving(relay); }
 
@@ -47,6 +50,7 @@
     pid_t pid = -1;
     pid_t group = -1;
     tcp::endpoint listen;
+    tcp::endpoint second;  // the operators'
     std::string program;
     double started = 0;
     double term_at = -1;          // SIGTERM was sent
--- a/lab/network.cpp
+++ b/lab/network.cpp
@@ -10,7 +10,6 @@
 using Error = boost::system::error_code;
 
 constexpr size_t kMostDatagram = 2048;
-constexpr int kTries = 50;  // for a port that is free for both UDP and TCP
 
 }  // namespace
 
@@ -84,29 +83,14 @@
       sockets_(ways_.size()),
       acceptors_(ways_.size()),
       buffers_(ways_.size(), std::vector<char>(kMostDatagram)) {
-  const auto take = [&](auto& acceptor, auto& socket) {
-    for (int i = 0; i < kTries; ++i) {
-      auto tcp_side = std::make_unique<tcp::acceptor>(world_.io, loopback());
-      Error taken;
-      auto udp_side = std::make_unique<udp::socket>(world_.io, udp::v4());
-      udp_side->bind({boost::asio::ip::address_v4::loopback(), tcp_side->local_endpoint().port()}, taken);
-      if (taken) continue;
-      acceptor = std::move(tcp_side);
-      socket = std::move(udp_side);
-      return;
-    }
-    throw Unusable("no free ports for the network between relays");
-  };
-  for (int i = 0; i < relays; ++i) {
-    std::unique_ptr<tcp::acceptor> acceptor;
-    std::unique_ptr<udp::socket> socket;
-    take(acceptor, socket);
-    bound_.push_back(acceptor->local_endpoint());  // released here, the relay's from its start on
-  }
+  for (int i = 0; i < relays; ++i) bound_.push_back(world.ports.take());
   for (int from = 0; from < relays; ++from) {
     for (int to = 0; to < relays; ++to) {
       if (from == to) continue;
-      take(acceptors_[index(from, to)], sockets_[index(from, to)]);
+      const tcp::endpoint at = world.ports.take();
+      acceptors_[index(from, to)] = std::make_unique<tcp::acceptor>(world.io, at);
+      sockets_[index(from, to)] =
+          std::make_unique<udp::socket>(world.io, udp::endpoint(at.address(), at.port()));
       receive(from, to);
       accept(from, to);
     }
--- a/lab/partner.cpp
+++ b/lab/partner.cpp
@@ -230,7 +230,8 @@
   for (int i = 0; i < 3; ++i) {
     tcp::socket filler(owner_.world_.io, tcp::v4());
     filler.non_blocking(true, ignored);
-    filler.connect(address, ignored);
+    // Not Asio's own, which waits for what never comes.
+    ::connect(filler.native_handle(), address.data(), static_cast<socklen_t>(address.size()));
     fillers_.push_back(std::move(filler));
   }
 }
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -20,6 +20,7 @@
       scenario(given),
       plan(drawn),
       chance(drawn.seed, 3),
+      ports(loop),
       oracles(rules_of(given), given.relays),
       figures(given, drawn) {}
 
--- a/lab/world.h
+++ b/lab/world.h
@@ -10,6 +10,7 @@
 
 #include "figures.h"
 #include "oracle.h"
+#include "ports.h"
 #include "scenario.h"
 
 namespace umberhoist::lab {
@@ -32,6 +33,7 @@
   const Plan& plan;
   std::chrono::steady_clock::time_point origin = std::chrono::steady_clock::now();
   Chance chance;
+  Ports ports;
   Oracles oracles;
   Figures figures;
   // What partners and the platform tell the clients: a call was answered 200, a message was ended by a
