Keep a view of the fleet among the relays: SWIM with Lifeguard, bound to UDP by a fleet section

Cause: relays knew of each other only a count in the settings; none could tell who lives, and a roll-out could be watched from nowhere.

With count = view the module's even parts follow the view. The section is checked whole, one line that names the key; without it not a socket, thread, file or figure is there, which a test shows. The lab plays it on the simulated clock and with real processes, whose views must settle within 10 s of the last fault.

--- /dev/null
+++ b/ctl/main.cpp
@@ -0,0 +1,113 @@
+// umberhoistctl: the operators' command line over the relays' second addresses.
+#include <CLI/CLI.hpp>
+#include <chrono>
+#include <cstdio>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "ask.h"
+#include "fleet_view.h"
+
+namespace {
+
+using namespace umberhoist::ctl;
+
+constexpr int kDiffers = 1;
+constexpr int kUnusable = 2;
+
+// Of one relay or several; 0 where all of them answered OK.
+int status(const std::vector<std::string>& relays, bool as_json) {
+  int worst = 0;
+  nlohmann::json all = nlohmann::json::object();
+  for (const std::string& relay : relays) {
+    std::string line;
+    try {
+      line = ask(relay, "STATUS").first;
+    } catch (const std::exception& fault) {
+      line = std::string("ERR ") + fault.what();
+    }
+    if (!line.starts_with("OK")) worst = kDiffers;
+    all[relay] = line;
+    if (!as_json) std::cout << relay << "  " << line << "\n";
+  }
+  if (as_json) std::cout << all.dump(1) << "\n";
+  return worst;
+}
+
+int metrics(const std::string& relay, bool as_json) {
+  const Reply reply = ask(relay, "METRICS");
+  if (!reply.ok) throw std::runtime_error(relay + ": " + reply.first);
+  nlohmann::json all = nlohmann::json::object();
+  for (const std::string& line : reply.lines) {
+    const size_t space = line.rfind(' ');
+    all[line.substr(0, space)] = nlohmann::json::parse(line.substr(space + 1), nullptr, false);
+    if (!as_json) std::cout << line << "\n";
+  }
+  if (as_json) std::cout << all.dump(1) << "\n";
+  return 0;
+}
+
+int fleet_view(const std::vector<std::string>& relays, bool watch, double every_s) {
+  for (;;) {
+    std::vector<std::pair<std::string, View>> views;
+    std::string silent;
+    for (const std::string& relay : relays) {
+      try {
+        const Reply reply = ask(relay, "FLEET");
+        if (!reply.ok) throw std::runtime_error(relay + ": " + reply.first);
+        views.emplace_back(relay, read_view(reply.lines));
+      } catch (const std::exception& fault) {
+        silent += std::string(fault.what()) + "\n";
+      }
+    }
+    const Table table = side_by_side(views);
+    if (watch) std::cout << "\033[2J\033[H";
+    std::cout << table.text << silent << (table.agree ? "" : "views differ\n") << std::flush;
+    if (!watch) return views.empty() ? kUnusable : table.agree && silent.empty() ? 0 : kDiffers;
+    std::this_thread::sleep_for(std::chrono::duration<double>(every_s));
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app("The operators' command line over the relays' second addresses.");
+  app.require_subcommand(1);
+  std::vector<std::string> relays;
+  bool as_json = false;
+  const auto to_relays = [&](CLI::App* command) {
+    command
+        ->add_option("--relay", relays, "HOST:PORT of a relay's second address; more than one may be named")
+        ->required()
+        ->allow_extra_args(false);
+    return command;
+  };
+  CLI::App* status_command = to_relays(app.add_subcommand("status", "whether relays serve"));
+  status_command->add_flag("--json", as_json);
+  CLI::App* metrics_command = to_relays(app.add_subcommand("metrics", "a relay's figures"));
+  metrics_command->add_flag("--json", as_json);
+  CLI::App* fleet_command = app.add_subcommand("fleet", "the relays as they see each other");
+  fleet_command->require_subcommand(1);
+  CLI::App* view_command =
+      to_relays(fleet_command->add_subcommand("view", "one table; exit 1 where views differ"));
+  bool watch = false;
+  double every_s = 1;
+  view_command->add_flag("--watch", watch, "again and again");
+  view_command->add_option("--every", every_s, "seconds")->check(CLI::PositiveNumber);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    if (error.get_exit_code() == 0) return app.exit(error);
+    std::fprintf(stderr, "umberhoistctl: %s\n", error.what());
+    return kUnusable;
+  }
+  try {
+    if (*status_command) return status(relays, as_json);
+    if (*metrics_command) return metrics(relays.front(), as_json);
+    return fleet_view(relays, watch, every_s);
+  } catch (const std::exception& fault) {
+    std::fprintf(stderr, "umberhoistctl: %s\n", fault.what());
+    return kUnusable;
+  }
+}
--- a/lab/figures.cpp
+++ b/lab/figures.cpp
@@ -154,6 +154,7 @@
   figures["descriptors_most"] = descriptors_;
   figures["cpu_relays_cores"] = std::accumulate(cpu_.begin(), cpu_.end(), 0.0) / std::max(1.0, end);
   figures["cpu_lab_cores"] = lab_cpu_;
+  if (view_settled_ >= 0) figures["view_settle_s_slowest"] = view_settled_;
   double slowest = 0;
   for (size_t i = 0; i < plan_.faults.size(); ++i) {
     const double took = recovered(plan_.faults[i], length);
--- a/lab/figures.h
+++ b/lab/figures.h
@@ -35,6 +35,7 @@
   void fell(double now, int partner);
   void asked_for_list(double now, int relay);
   void used(double now, int relay, double cpu_s, double memory_bytes, int descriptors);
+  void view_settled(double after) { view_settled_ = std::max(view_settled_, after); }
   void lab_used(double share_of_core) { lab_cpu_ = share_of_core; }
 
   // {"figures":{...},"series":{...}}; the play ended at `end`.
@@ -75,6 +76,7 @@
   std::vector<double> cpu_;
   int descriptors_ = 0;
   double lab_cpu_ = 0;
+  double view_settled_ = -1;  // the slowest
   std::vector<std::pair<double, double>> memory_series_;
   using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
   decltype(boost::histogram::make_histogram(Axis(120, 1e-3, 1e2))) latency_;
--- a/lab/oracle.cpp
+++ b/lab/oracle.cpp
@@ -8,7 +8,8 @@
 
 const char* const kNames[] = {"final_answer", "client_answered", "one_attempt_out", "no_second_run",
                               "drains_kept",  "waits_kept",      "cold_not_pushed", "call_intact",
-                              "limits_kept",  "clean_end",       "starts",          "no_orphan"};
+                              "limits_kept",  "clean_end",       "starts",          "no_orphan",
+                              "view_settles"};
 
 std::string seconds(double t) {
   char out[32];
@@ -264,6 +265,15 @@
   if (*what != '\0') broke("limits_kept", now, relay, what);
 }
 
+void Oracles::view(double now, double took, double most, const std::string& wrong) {
+  ++of("view_settles").checked;
+  if (!wrong.empty()) {
+    broke("view_settles", now, -1, "not settled " + seconds(took) + " after the last fault: " + wrong);
+  } else if (took > most + 1) {
+    broke("view_settles", now, -1, "settled only after " + seconds(took));
+  }
+}
+
 void Oracles::left_behind(double now, int relay, const std::string& what) {
   ++of("no_orphan").checked;
   if (!what.empty()) broke("no_orphan", now, relay, what);
--- a/lab/oracle.h
+++ b/lab/oracle.h
@@ -84,6 +84,8 @@
   void started(double now, int relay, double took);
   void ended(double now, int relay, bool asked, int status, double after);
   void measured(double now, int relay, double memory, int descriptors, double disk);
+  // Relays' views of each other settled after so long, or (`wrong` says how) did not.
+  void view(double now, double took, double most, const std::string& wrong);
   void left_behind(double now, int relay, const std::string& what);
 
   // The play is over: what is still owed and due is lost.
--- a/lab/play.cpp
+++ b/lab/play.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "clients.h"
+#include "views.h"
 
 namespace umberhoist::lab {
 namespace {
@@ -17,6 +18,8 @@
 namespace fs = std::filesystem;
 using nlohmann::json;
 
+constexpr double kSettleWithin = 10;  // of the relays' views, after the last fault
+
 double own_cpu() {
   rusage used{};
   ::getrusage(RUSAGE_SELF, &used);
@@ -56,6 +59,7 @@
     if (scenario.fleet) network_ = std::make_unique<PairNetwork>(world_, scenario.relays);
     fleet_ = std::make_unique<Fleet>(world_, options.folder, options.program, agents_, network_.get());
     clients_ = std::make_unique<Clients>(world_, *fleet_);
+    if (scenario.fleet) views_ = std::make_unique<Views>(world_, *fleet_);
   }
 
   json run() {
@@ -89,6 +93,18 @@
         strike(fault);
       });
     }
+    // Views are looked at after the start and after each fault; none counts while another is on.
+    if (views_) views_->watch(kSettleWithin);
+    for (const Fault& fault : plan_.faults) {
+      if (!views_) break;
+      world_.after(fault.at + fault.lasts + 0.7, [this] {
+        const double now = world_.now();
+        for (const Fault& other : plan_.faults) {
+          if (other.at <= now && now < other.at + other.lasts + 0.7) return;
+        }
+        views_->watch(kSettleWithin);
+      });
+    }
     clients_->start();
     progress();
     world_.after(scenario_.length_s, [this] { settle(); });
@@ -167,6 +183,7 @@
     over_ = true;
     end_ = world_.now();
     world_.figures.lab_used((own_cpu() - cpu_) / std::max(0.1, end_));
+    if (views_) views_->finish();
     world_.oracles.finish(end_);
     say("ending the relays");
     fleet_->end([this] { done(); });
@@ -230,6 +247,7 @@
   std::unique_ptr<PairNetwork> network_;
   std::unique_ptr<Fleet> fleet_;
   std::unique_ptr<Clients> clients_;
+  std::unique_ptr<Views> views_;
   bool begun_ = false;
   bool over_ = false;
   bool interrupted_ = false;
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -295,8 +295,9 @@
     r.number("others", p.others);
   });
   in.table("sim", [&](Reader& r) {
-    r.text("protocol", out.sim.protocol, {"heartbeat"});
+    r.text("protocol", out.sim.protocol, {"heartbeat", "membership"});
     r.number("period_ms", out.sim.period_ms);
+    r.flag("plain", out.sim.plain);
   });
   in.tables("class", [&](Reader& r) {
     ClassSpec c;
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -111,8 +111,9 @@
 };
 
 struct SimSpec {                        // on the simulated clock
-  std::string protocol = "heartbeat";
+  std::string protocol = "membership";  // heartbeat, membership
   double period_ms = 500;
+  bool plain = false;  // membership without suspicion's health and without comparing whole views
 };
 
 struct Scenario {
--- a/lab/sim.cpp
+++ b/lab/sim.cpp
@@ -149,6 +149,7 @@
 }
 
 json simulate(const Scenario& scenario, uint64_t seed) {
+  if (scenario.sim.protocol == "membership") return simulate_membership(scenario, seed);
   const Plan plan = draw(scenario, seed);
   std::vector<std::string> names;
   for (int i = 0; i < scenario.relays; ++i) names.push_back(member_name(i));
--- a/lab/sim.h
+++ b/lab/sim.h
@@ -92,6 +92,7 @@
                 const std::function<void(int, const std::string&)>& start);
 // With everything in it that is the same for each protocol.
 nlohmann::json sim_result(const Scenario& scenario, const Plan& plan, double length);
+nlohmann::json simulate_membership(const Scenario& scenario, uint64_t seed);
 
 // Plays a scenario's faults of relays and network; result.json's form, like play().
 nlohmann::json simulate(const Scenario& scenario, uint64_t seed);
--- a/relay/config.h
+++ b/relay/config.h
@@ -11,6 +11,22 @@
 
 namespace firspool::relay {
 
+// Relays that talk to each other: the configuration's `fleet` section. docs/fleet-view.md.
+struct FleetSettings {
+  struct Peer {
+    std::string name;
+    tcp::endpoint address;
+    bool voter = false;
+  };
+  std::string cluster;
+  tcp::endpoint bind;       // UDP, and TCP where relays agree
+  std::vector<Peer> peers;  // all relays, this one too
+  Time period = 0;
+  Time term = 0;                // that a right granted by others lasts
+  bool isolated_serves = false; // a relay that hears nobody goes on taking messages on
+  bool count_view = false;      // relays are counted as the view shows them, not as the settings say
+};
+
 struct Config {
   std::string path;  // of the file
   std::string text;  // as it was read
@@ -27,6 +43,7 @@
   Settings settings;
   ListNames names;
   std::vector<std::string> report_fields;
+  std::optional<FleetSettings> fleet;  // none: relays do not talk
   HostList known;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -77,6 +77,7 @@
       listening_(std::move(listening)),
       open_timer_(io),
       peer_timer_(io) {
+  if (!standing_.predecessor) join_fleet();
   if (config.operator_address) {
     operator_.emplace(io, *config.operator_address,
                       [this](const std::string& call) { return replies_.to(call); });
@@ -143,11 +144,25 @@
 }
 
 void Relay::serve() {
+  join_fleet();
   custody_.resume(std::exchange(waiting_, {}));
   listen();
   report();
 }
 
+// A successor joins once it serves: its predecessor has the address until then.
+void Relay::join_fleet() {
+  if (!config_.fleet || fleet_) return;
+  fleet_.emplace(io_, config_, UMBERHOIST_VERSION, [this](int relays) {
+    if (!config_.fleet->count_view || std::exchange(relays_, relays) == relays) return;
+    apply_share();
+  });
+  replies_.add("FLEET", [this](const std::string&) {
+    return fleet_ ? fleet_->members() : "ERR not in the fleet now\n";
+  });
+  replies_.add_figures([this] { return fleet_ ? fleet_->figures() : std::string(); });
+}
+
 void Relay::listen() {
   clients_.emplace(
       io_, config_.listen, config_.inherited, Clients::Limits{client_limit(), config_.memory_bytes / 4},
@@ -361,8 +376,10 @@
   next.listen = config_.listen;
   next.inherited = config_.inherited;
   next.operator_address = config_.operator_address;
+  if (!config_.fleet) next.fleet.reset();  // begins with the next start
   config_ = std::move(next);
   custody_.retune(config_.settings);
+  if (fleet_) fleet_->retune(*config_.fleet);
   upstream_.retune(upstream_limits(config_), config_.report_fields);
   watch_.rename(config_.names);
   apply_share();
@@ -389,6 +406,7 @@
   if (stopping_since_ != 0) return;
   stopping_since_ = steady_now();
   if (handing_) return;
+  if (fleet_) fleet_->leave();
   happened(Closing{stopping_since_ + kLastCall});
   wait_for_end();
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -15,6 +15,7 @@
 #include "clients.h"
 #include "config.h"
 #include "custody.h"
+#include "fleet_link.h"
 #include "handover.h"
 #include "operator.h"
 #include "replies.h"
@@ -71,6 +72,7 @@
   HostList renamed_list() const;
   size_t client_limit() const;
   void arm();
+  void join_fleet();
   void wait_for_end();
   void report();
   // Upgrade (upgrade.cpp): as the successor of another process,
@@ -119,6 +121,8 @@
   std::shared_ptr<Link> link_;        // to the other process
   Upstream upstream_;
   Replies replies_;
+  std::optional<FleetLink> fleet_;  // where relays talk, and this process serves
+  int relays_ = 0;                  // as the fleet's view counts them; 0: the settings say
   std::optional<Operator> operator_;
   Watch watch_;
   std::function<void(const tcp::endpoint&)> listening_;
--- a/relay/upgrade.cpp
+++ b/relay/upgrade.cpp
@@ -127,6 +127,7 @@
 // The module gets the settings as far as this process may use them.
 void Relay::apply_share() {
   Retuned now{config_.settings};
+  if (relays_ > 0) now.settings.relays = relays_;
   now.settings.slots -= std::min(now.settings.slots, static_cast<int>(share_.calls));
   now.settings.max_open -= std::min(now.settings.max_open, static_cast<int>(share_.held));
   happened(std::move(now));
@@ -164,6 +165,7 @@
                std::to_string(upstream_.out()) + " calls out",
            {{"held", custody_.held().size()}, {"calls", upstream_.out()}});
   handing_ = closed_ = true;
+  fleet_.reset();  // the successor needs its address
   clients_->finish();
   upstream_.close_all_idle();
   share_.file = custody_.journal().freeze();
@@ -252,6 +254,7 @@
   }
   for (const uint64_t number : passed) custody_.forget(number);
   custody_.resume(again);
+  join_fleet();
   clients_.reset();
   listen();
 }
--- a/tests/command_test.cpp
+++ b/tests/command_test.cpp
@@ -4,7 +4,11 @@
 
 #include <cstdio>
 #include <fstream>
+#include <iterator>
+#include <set>
+#include <sstream>
 
+#include "config.h"
 #include "log.h"
 #include "peers.h"
 
@@ -80,6 +84,111 @@
   EXPECT_NE(line["reason"].get<std::string>(), "");
 }
 
+nlohmann::json fleet_config() {
+  nlohmann::json config = config_json("127.0.0.1:1", {});
+  config["settings"]["bounds"]["peers"] = true;
+  config["fleet"] = {{"cluster", "roaming-1"},
+                     {"bind", "127.0.0.1:7946"},
+                     {"period_ms", 500},
+                     {"term_ms", 3000},
+                     {"isolated", "refuse"},
+                     {"peers",
+                      {{{"name", "n0"}, {"address", "127.0.0.1:7946"}, {"voter", true}},
+                       {{"name", "n1"}, {"address", "127.0.0.1:7947"}}}}};
+  return config;
+}
+
+// One line that names the key.
+TEST(Fleet, ASectionThatDoesNotHoldTogetherIsTurnedDownWhole) {
+  const auto reason = [](const char* at, const nlohmann::json& value) {
+    nlohmann::json config = fleet_config();
+    config[nlohmann::json::json_pointer(at)] = value;
+    try {
+      relay::parse_config(config.dump(), "state");
+    } catch (const std::exception& fault) {
+      return std::string(fault.what());
+    }
+    return std::string("taken");
+  };
+  EXPECT_EQ(reason("/fleet/period_ms", 500), "taken");
+  EXPECT_EQ(reason("/settings/bounds/peers", false),
+            "fleet is given, but settings.bounds.peers does not allow it");
+  EXPECT_EQ(reason("/name", "n7"), "fleet.peers does not name n7");
+  EXPECT_EQ(reason("/fleet/peers/1/name", "n0"), "fleet.peers.1.name is there twice");
+  EXPECT_EQ(reason("/fleet/peers/1/address", "127.0.0.1:7946"), "fleet.peers.1.address is there twice");
+  EXPECT_EQ(reason("/fleet/peers/1/address", "nowhere"), "fleet.peers.1.address is no address");
+  EXPECT_EQ(reason("/fleet/peers/1/voter", true), "fleet.peers has no odd number of voters");
+  EXPECT_EQ(reason("/fleet/peers/0/voter", false), "fleet.peers has no odd number of voters");
+  EXPECT_EQ(reason("/fleet/period_ms", 0), "fleet.period_ms is not a time above 0 in milliseconds");
+  EXPECT_EQ(reason("/fleet/term_ms", 1999), "fleet.term_ms is under four periods");
+  EXPECT_EQ(reason("/fleet/isolated", "maybe"), "fleet.isolated is neither refuse nor serve");
+  EXPECT_EQ(reason("/fleet/cluster", ""), "fleet.cluster is not a text of 1 to 64 bytes");
+}
+
+// What a process holds open, by kind; UDP sockets apart.
+std::map<std::string, int> held_open(pid_t pid) {
+  std::set<std::string> udp;
+  std::ifstream table("/proc/" + std::to_string(pid) + "/net/udp");
+  for (std::string line; std::getline(table, line);) {
+    std::istringstream in(line);
+    std::vector<std::string> words{std::istream_iterator<std::string>(in), {}};
+    if (words.size() > 9) udp.insert("socket:[" + words[9] + "]");
+  }
+  std::map<std::string, int> out;
+  for (const auto& fd : std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/fd")) {
+    std::error_code gone;
+    const std::string to = std::filesystem::read_symlink(fd.path(), gone).string();
+    ++out[udp.contains(to) ? "udp" : to.substr(0, to.find(':'))];
+  }
+  for (const auto& thread : std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/task")) {
+    out["threads"] += thread.is_directory() ? 1 : 0;
+  }
+  return out;
+}
+
+TEST(Fleet, WithoutItsSectionNotASocketThreadFileOrFigureIsThere) {
+  const std::string second = free_address();
+  nlohmann::json plain = config_json("127.0.0.1:1", {});
+  plain["operator"] = second;
+  Program without(plain);
+  without.start();
+  const auto held = held_open(without.pid());
+  EXPECT_FALSE(held.contains("udp"));
+  EXPECT_EQ(held.at("threads"), 1);
+  EXPECT_FALSE(std::filesystem::exists(without.state() / "fleet.json"));
+  const auto ask = [&](const std::string& call) {
+    Socket caller = Socket::connect(second);
+    caller.send(call + "\n");
+    std::string all;
+    for (std::string line = caller.line(); !line.empty(); line = caller.line()) all += line + "\n";
+    return all;
+  };
+  EXPECT_EQ(ask("FLEET"), "ERR unknown call\n");
+  EXPECT_EQ(ask("METRICS").find("fleet_"), std::string::npos);
+  without.kill();
+  // And with it they are: the check can fail.
+  nlohmann::json config = fleet_config();
+  config["operator"] = second;
+  config["fleet"]["bind"] = config["fleet"]["peers"][0]["address"] = free_address();
+  Program with(config);
+  with.start();
+  EXPECT_EQ(held_open(with.pid()).at("udp"), 1);
+  EXPECT_EQ(held_open(with.pid()).at("threads"), 1);
+  EXPECT_TRUE(std::filesystem::exists(with.state() / "fleet.json"));
+  EXPECT_NE(ask("FLEET").find("n0 alive"), std::string::npos);
+  EXPECT_NE(ask("METRICS").find("fleet_members{state=\"alive\"} 1"), std::string::npos);
+  // A second process under the same name ends with one line, and the first goes on.
+  const ConfigFile again(config.dump());
+  const std::string folder = std::filesystem::temp_directory_path() / "umberhoist-second";
+  std::filesystem::create_directory(folder);
+  const Ran ran = run("--state " + folder + " --config " + again.path());
+  std::filesystem::remove_all(folder);
+  EXPECT_EQ(ran.status, 1);
+  EXPECT_TRUE(one_line(ran.output)) << ran.output;
+  EXPECT_NE(ran.output.find("has another process this name?"), std::string::npos) << ran.output;
+  EXPECT_NE(ask("FLEET").find("n0 alive"), std::string::npos);
+}
+
 // A pipe that nobody reads once stopped a relay in the middle of a write.
 TEST(Log, AReaderThatDoesNotReadNeverBlocksItAndLossIsTold) {
   int ends[2];
--- a/tests/fleet/fleet_test.cpp
+++ b/tests/fleet/fleet_test.cpp
@@ -47,5 +47,32 @@
   EXPECT_EQ(result["oracles"]["starts"]["checked"].get<int>(), 5);
 }
 
+// A machine that has vanished: connections never come up. The lab's own loop once hung on it.
+TEST(FleetTest, APartnerIsSilentAndComesBack) {
+  const nlohmann::json result = play_once(
+      scenario(
+          std::string("length_s=5\nsettle_s=4\nrelays=2\n[[fault]]\nkind='partner'\nstate='silent'\nat_s=1\n"
+                      "for_s=1.5\ncount=2\n") +
+          kClasses),
+      UMBERHOIST);
+  expect_held(result);
+  EXPECT_GT(result["figures"]["calls"].get<double>(), 50);
+}
+
+// Relays that talk: one is killed, one is stopped and taken for gone, two are cut off; each time all that
+// serve soon show exactly those that serve, while messages are delivered.
+TEST(FleetTest, ViewsSettleAfterAKillAStandstillAndASplit) {
+  const nlohmann::json result = play_once(
+      scenario(
+          std::string(
+              "length_s=24\nsettle_s=6\nrelays=5\nfleet=true\n[[fault]]\nkind='kill'\nat_s=4\nfor_s=0.6\n"
+              "folder='emptied'\n[[fault]]\nkind='stop'\nat_s=8\nfor_s=4\n"
+              "[[fault]]\nkind='net'\nat_s=14\nfor_s=6\ncount=2\n") +
+          kClasses),
+      UMBERHOIST);
+  expect_held(result);
+  EXPECT_GE(result["oracles"]["view_settles"]["checked"].get<int>(), 4);
+}
+
 }  // namespace
 }  // namespace umberhoist::lab
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -133,6 +133,7 @@
   int wait();  // exit status; minus the signal that ended it
   void kill();
   std::filesystem::path state() const { return state_; }
+  pid_t pid() const { return child_; }
   Socket client() const { return Socket::connect(port_); }
 
  private:
