Tell a member's death once, and not as an answer before it

Seen by hand with three relays: the log said that one killed "answers again" right before it "is gone". Cause: a word about a suspect first made it alive (fleet/membership.cpp, hear), which only a newer doubt needs.

--- a/fleet/membership.cpp
+++ b/fleet/membership.cpp
@@ -136,8 +136,8 @@
   if (!newer(u.state, u.incarnation, r.state, r.incarnation)) return false;
   // One that nobody here knows may be told of as gone: it was a member before this one came.
   digest_ ^= hash_of(u.name, lives(r.state) ? r.state : State::kUnknown, r.incarnation);
-  if (r.state == State::kSuspect)
-    set_state(now, i, State::kAlive, "");  // of an earlier incarnation: no longer
+  // In doubt at an earlier incarnation: that is over, and this doubt begins anew.
+  if (r.state == State::kSuspect && u.state == State::kSuspect) set_state(now, i, State::kAlive, "");
   r.incarnation = u.incarnation;
   if (u.state == State::kAlive) {
     r.version = u.version;
--- a/relay/config.h
+++ b/relay/config.h
@@ -22,9 +22,9 @@
   tcp::endpoint bind;       // UDP, and TCP where relays agree
   std::vector<Peer> peers;  // all relays, this one too
   Time period = 0;
-  Time term = 0;                // that a right granted by others lasts
-  bool isolated_serves = false; // a relay that hears nobody goes on taking messages on
-  bool count_view = false;      // relays are counted as the view shows them, not as the settings say
+  Time term = 0;                 // that a right granted by others lasts
+  bool isolated_serves = false;  // a relay that hears nobody goes on taking messages on
+  bool count_view = false;       // relays are counted as the view shows them, not as the settings say
 };
 
 struct Config {
--- a/tests/fleet/membership_test.cpp
+++ b/tests/fleet/membership_test.cpp
@@ -156,6 +156,18 @@
   for (int i : {0, 1, 2, 4}) EXPECT_EQ(m.state(i, 3), State::kLeft) << i;
 }
 
+// A death once was told as an answer first: the log said "answers again" right before "is gone".
+TEST(Membership, ADeathIsToldOnceAndNotAsAnAnswer) {
+  Members m(3);
+  m.run(15);
+  for (int i = 0; i < 3; ++i) (void)m.of(i).events();
+  m.network.crash(2);
+  m.run(20);
+  std::vector<Membership::Event::What> told;
+  for (const auto& e : m.of(0).events()) told.push_back(e.what);
+  EXPECT_EQ(told, (std::vector{Membership::Event::What::kSuspect, Membership::Event::What::kDead}));
+}
+
 // It is heard, but hears nothing: it must not talk the others dead, and it counts as gone.
 TEST(Membership, OneThatCannotHearDoubtsItself) {
   Members m(8);
