--- a/lab/report.cpp
+++ b/lab/report.cpp
@@ -61,7 +61,7 @@
   out << "set terminal svg size 960,230 dynamic noenhanced name '" << name
       << "' font 'sans-serif,12' background '#ffffff'\n"
       << "set grid lc rgb '#dddddd'\nset border 3 lc rgb '#666666'\nset tics nomirror\nset key outside right "
-         "top\n"
+         "top\nset lmargin 8\nset rmargin 28\n"
       << "set ylabel '" << label << "'\nset yrange [0:*]\n"
       << more;
   if (name != "latency") {
@@ -114,19 +114,24 @@
   return out + "</table>";
 }
 
+// The broken first.
 std::string oracle_list(const json& result) {
-  std::string out = "<table><tr><th>promise</th><th>checked</th><th></th></tr>";
+  std::string broken, others;
   for (const auto& [name, state] : result.at("oracles").items()) {
     const bool held = state["held"].get<bool>();
     const auto checked = state["checked"].get<uint64_t>();
-    out += "<tr class=" + std::string(held ? checked > 0 ? "good" : "none" : "bad") + "><td>" + name +
-           "</td><td class=n>" + std::to_string(checked) + "</td><td>" +
-           (held ? checked > 0 ? "held" : "nothing to check in this play"
-                 : "BROKEN " + std::to_string(state.value("broken", 1)) + " times, first " +
-                       escaped(state["first_broken"].get<std::string>())) +
-           "</td></tr>";
+    const std::string what = !held ? "BROKEN " + std::to_string(state.value("broken", 1)) + " times, first " +
+                                         escaped(state["first_broken"].get<std::string>())
+                             : checked > 0 ? "held"
+                                           : "nothing to check in this play";
+    (held ? others : broken) += "<tr class=" +
+                                std::string(!held         ? "bad"
+                                            : checked > 0 ? "good"
+                                                          : "none") +
+                                "><td>" + name + "</td><td class=n>" + std::to_string(checked) + "</td><td>" +
+                                what + "</td></tr>";
   }
-  return out + "</table>";
+  return "<table><tr><th>promise</th><th>checked</th><th></th></tr>" + broken + others + "</table>";
 }
 
 const std::vector<std::pair<const char*, const char*>> kHeadline = {
