--- a/lab/figures.cpp
+++ b/lab/figures.cpp
@@ -55,11 +55,9 @@
 void Figures::returned(double now) { bin(now).returned += 1; }
 void Figures::failed(double now) { bin(now).failed += 1; }
 
-void Figures::call(double now, int partner, int, bool in_outage) {
+void Figures::call(double now, int, int, bool in_outage) {
   bin(now).calls += 1;
-  if (!in_outage) return;
-  bin(now).scouts += 1;
-  ++scouts_[partner];
+  if (in_outage) bin(now).scouts += 1;
 }
 
 void Figures::refused_call(double now, int) { bin(now).refused_calls += 1; }
--- a/lab/figures.h
+++ b/lab/figures.h
@@ -69,7 +69,6 @@
   std::vector<Served> messages_;
   std::map<size_t, Bin> bins_;  // by second
   std::vector<double> by_relay_;
-  std::map<int, int> scouts_;  // calls into an outage, by partner
   int outages_ = 0;
   int fallen_ = 0;
   std::vector<double> memory_;
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -25,7 +25,7 @@
 constexpr double kPatience = 15;    // for the first start
 constexpr double kKillAfter = 0.5;  // SIGKILL comes so long after the latest end that is promised
 
-// The names of the limits file of a process that the kernel keeps; empty where it is gone.
+// A whole file; empty where it is gone.
 std::string slurp(const fs::path& path) {
   std::ifstream in(path, std::ios::binary);
   return {std::istreambuf_iterator<char>(in), {}};
--- a/lab/play.cpp
+++ b/lab/play.cpp
@@ -277,11 +277,12 @@
   }
 }
 
-bool all_held(const json& result) {
+std::vector<std::string> broken(const json& result) {
+  std::vector<std::string> out;
   for (const auto& [name, state] : result.at("oracles").items()) {
-    if (!state.at("held").get<bool>()) return false;
+    if (!state.at("held").get<bool>()) out.push_back(name);
   }
-  return true;
+  return out;
 }
 
 }  // namespace umberhoist::lab
--- a/lab/play.h
+++ b/lab/play.h
@@ -17,6 +17,8 @@
 // result.json as the brief has it, with `faults` for the report. Throws Unusable where it cannot be played.
 nlohmann::json play(const Scenario& scenario, const PlayOptions& options);
 
-bool all_held(const nlohmann::json& result);
+// The broken oracles' names.
+std::vector<std::string> broken(const nlohmann::json& result);
+inline bool all_held(const nlohmann::json& result) { return broken(result).empty(); }
 
 }  // namespace umberhoist::lab
--- a/lab/report.cpp
+++ b/lab/report.cpp
@@ -12,6 +12,8 @@
 #include <map>
 #include <sstream>
 
+#include "play.h"
+
 namespace umberhoist::lab {
 namespace {
 
@@ -146,8 +148,7 @@
 }  // namespace
 
 std::string report_page(const json& result) {
-  bool held = true;
-  for (const auto& [name, state] : result.at("oracles").items()) held = held && state["held"].get<bool>();
+  const bool held = all_held(result);
   const json& figures = result.at("figures");
   std::string out =
       "<!doctype html><meta charset=utf-8><title>" + escaped(result["scenario"].get<std::string>()) +
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -347,6 +347,10 @@
   return out;
 }
 
+bool Fault::of_partners() const {
+  return kind == "partner" || kind == "limit" || kind == "hot" || kind == "drain";
+}
+
 std::string Fault::text() const {
   std::ostringstream out;
   out << kind;
@@ -356,8 +360,7 @@
   if (loss > 0) out << ", loss " << std::round(loss * 100) << "%";
   if (delay > 0) out << ", delay " << std::round(delay * 1000) << " ms";
   if (!targets.empty()) {
-    out << " of "
-        << (kind == "partner" || kind == "limit" || kind == "hot" || kind == "drain" ? "partners" : "relays");
+    out << " of " << (of_partners() ? "partners" : "relays");
     for (size_t i = 0; i < targets.size(); ++i) {
       if (i == 8) {
         out << " and " << targets.size() - i << " more";
@@ -412,7 +415,7 @@
     f.duplicate = spec.duplicate.draw(chance);
     f.reorder = spec.reorder.draw(chance);
     f.one_way = spec.direction == "one";
-    const bool partners = f.kind == "partner" || f.kind == "limit" || f.kind == "hot" || f.kind == "drain";
+    const bool partners = f.of_partners();
     if (f.kind != "surge") f.targets = pick(spec, partners ? s.partners.count : s.relays, chance);
     if (f.kind != "roll") {
       plan.faults.push_back(f);
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -151,6 +151,7 @@
   double reorder = 0;
   bool one_way = false;
   std::vector<int> targets;  // relays, or destinations
+  bool of_partners() const;  // else of relays
   std::string text() const;  // for a person, without the time
 };
 
--- a/lab/shrink.cpp
+++ b/lab/shrink.cpp
@@ -4,14 +4,6 @@
 
 namespace umberhoist::lab {
 
-std::vector<std::string> broken(const nlohmann::json& result) {
-  std::vector<std::string> out;
-  for (const auto& [name, state] : result.at("oracles").items()) {
-    if (!state.at("held").get<bool>()) out.push_back(name);
-  }
-  return out;
-}
-
 Shrunk shrink(const toml::table& given, const std::string& oracle, int most_plays,
               const std::function<nlohmann::json(const toml::table&)>& replay) {
   Shrunk out;
--- a/lab/shrink.h
+++ b/lab/shrink.h
@@ -8,9 +8,6 @@
 
 namespace umberhoist::lab {
 
-// The broken oracles' names.
-std::vector<std::string> broken(const nlohmann::json& result);
-
 struct Shrunk {
   toml::table table;
   int plays = 0;
