--- a/fleet/codec.cpp
+++ b/fleet/codec.cpp
@@ -1,6 +1,6 @@
 #include "codec.h"
 
-#include <nlohmann/json.hpp>
+#include "reading.h"
 
 namespace umberhoist::fleet {
 namespace {
@@ -17,28 +17,12 @@
   return out;
 }
 
-struct Bad {};
-
-void want(bool good) {
-  if (!good) throw Bad{};
-}
-
-std::string text_of(const json& value) {
-  want(value.is_string());
-  const auto& text = value.get_ref<const std::string&>();
-  want(text.size() <= kMostName);
-  return text;
-}
-
-uint64_t number_of(const json& value) {
-  want(value.is_number_unsigned());
-  return value.get<uint64_t>();
-}
+std::string name_of(const json& value) { return text_of(value, kMostName); }
 
 Update unpacked(const json& from) {
   want(from.is_array() && from.size() >= 3);
   Update out;
-  out.name = text_of(from[0]);
+  out.name = name_of(from[0]);
   const uint64_t state = number_of(from[1]);
   want(!out.name.empty() && state >= 1 && state <= 4);
   out.state = static_cast<State>(state);
@@ -46,9 +30,9 @@
   want(out.incarnation <= kMostIncarnation);
   const bool alive = out.state == State::kAlive;
   want(from.size() == (alive ? 5u : out.state == State::kSuspect ? 4u : 3u));
-  if (out.state == State::kSuspect) out.by = text_of(from[3]);
+  if (out.state == State::kSuspect) out.by = name_of(from[3]);
   if (alive) {
-    out.version = text_of(from[3]);
+    out.version = name_of(from[3]);
     out.started_ms = number_of(from[4]);
   }
   return out;
@@ -70,25 +54,17 @@
   const json whole = {kProtocol,      p.cluster, static_cast<unsigned>(p.kind),
                       packed(p.self), p.number,  p.target,
                       p.digest,       p.buckets, updates};
-  std::string out;
-  json::to_cbor(whole, out);
-  return out;
+  return to_cbor(whole);
 }
 
 std::variant<Packet, Fault> decode(std::string_view bytes, const std::string& cluster) {
   if (bytes.size() > kMostDatagram) return Fault::kTooLong;
-  json whole;
-  try {  // it throws on a size out of range even where it is told not to
-    whole = json::from_cbor(bytes.begin(), bytes.end(), true, false);
-  } catch (const json::exception&) {
-    return Fault::kMalformed;
-  }
-  if (!whole.is_array() || whole.empty() || !whole[0].is_number_unsigned()) return Fault::kMalformed;
-  if (whole[0].get<uint64_t>() != kProtocol) return Fault::kVersion;
   try {
+    const json whole = from_cbor(bytes);
+    if (number_of(at(whole, 0)) != kProtocol) return Fault::kVersion;
     want(whole.size() == 9);
     Packet out;
-    out.cluster = text_of(whole[1]);
+    out.cluster = name_of(whole[1]);
     if (out.cluster != cluster) return Fault::kCluster;
     const uint64_t kind = number_of(whole[2]);
     want(kind >= 1 && kind <= 7);
@@ -96,7 +72,7 @@
     out.self = unpacked(whole[3]);
     want(out.self.state == State::kAlive || out.self.state == State::kLeft);
     out.number = number_of(whole[4]);
-    out.target = text_of(whole[5]);
+    out.target = name_of(whole[5]);
     out.digest = number_of(whole[6]);
     want(whole[7].is_array() && (whole[7].empty() || whole[7].size() == kBuckets));
     want(out.kind != Kind::kCompare || whole[7].size() == kBuckets);
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -295,9 +295,12 @@
     r.number("others", p.others);
   });
   in.table("sim", [&](Reader& r) {
-    r.text("protocol", out.sim.protocol, {"heartbeat", "membership"});
+    r.text("protocol", out.sim.protocol, {"heartbeat", "membership", "agreement"});
     r.number("period_ms", out.sim.period_ms);
     r.flag("plain", out.sim.plain);
+    r.number("changes", out.sim.changes);
+    r.number("deaths", out.sim.deaths);
+    r.flag("rivals", out.sim.rivals);
   });
   in.tables("class", [&](Reader& r) {
     ClassSpec c;
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -111,9 +111,12 @@
 };
 
 struct SimSpec {                        // on the simulated clock
-  std::string protocol = "membership";  // heartbeat, membership
+  std::string protocol = "membership";  // heartbeat, membership, agreement
   double period_ms = 500;
-  bool plain = false;  // membership without suspicion's health and without comparing whole views
+  bool plain = false;   // membership without suspicion's health and without comparing whole views
+  int changes = 0;      // agreement: of policy, spread over the play
+  int deaths = 0;       // and of processes, between two steps of what they do
+  bool rivals = false;  // two changes at once, aborted ones, ones that no build can hold
 };
 
 struct Scenario {
--- a/lab/sim.cpp
+++ b/lab/sim.cpp
@@ -4,6 +4,7 @@
 #include <numeric>
 
 #include "../fleet/heartbeat.h"
+#include "sim_agreement.h"
 
 namespace umberhoist::lab {
 
@@ -76,6 +77,7 @@
     m.bytes += one.bytes.size();
     ++datagrams_;
     const int to = number(one.to);
+    if (seen) seen(member, to, one.bytes);
     if (to < 0 || to >= members() || (blocked && blocked(member, to))) continue;
     const Way* own = ways ? ways(member, to) : nullptr;
     const Way& w = own != nullptr ? *own : way;
@@ -150,6 +152,7 @@
 
 json simulate(const Scenario& scenario, uint64_t seed) {
   if (scenario.sim.protocol == "membership") return simulate_membership(scenario, seed);
+  if (scenario.sim.protocol == "agreement") return simulate_agreement(scenario, seed);
   const Plan plan = draw(scenario, seed);
   std::vector<std::string> names;
   for (int i = 0; i < scenario.relays; ++i) names.push_back(member_name(i));
--- a/lab/sim.h
+++ b/lab/sim.h
@@ -37,12 +37,15 @@
   void crash(int member);
   void pause(int member);
   void resume(int member);
+  void nudge(int member) { flush(member); }  // after a call on machine() from outside
   void at(Time when, std::function<void()> then);
   void run(Time until);
 
   Way way;                                           // of every pair that has none of its own
   std::function<const Way*(int from, int to)> ways;  // null: `way`
   std::function<bool(int from, int to)> blocked;     // a cut, by direction
+  std::function<void(int from, int to, const std::string& bytes)>
+      seen;  // all that is sent, where somebody looks
 
   Time now() const { return now_; }
   int members() const { return static_cast<int>(members_.size()); }
