Bind the fleet's policy to the relay: fence, POLICY calls, umberhoistctl policy, lab play

Cause: the agreement stood alone; a relay still took its rules from its own file. Found by the play: a leader that ends by SIGTERM crashed, as C-Raft hands no callback with a hand-over of the reign.

--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -8,13 +8,13 @@
 
 #include "ask.h"
 #include "fleet_view.h"
+#include "policy.h"
 
 namespace {
 
 using namespace umberhoist::ctl;
 
 constexpr int kDiffers = 1;
-constexpr int kUnusable = 2;
 
 // Of one relay or several; 0 where all of them answered OK.
 int status(const std::vector<std::string>& relays, bool as_json) {
@@ -95,6 +95,29 @@
   double every_s = 1;
   view_command->add_flag("--watch", watch, "again and again");
   view_command->add_option("--every", every_s, "seconds")->check(CLI::PositiveNumber);
+  CLI::App* policy = app.add_subcommand("policy", "the fleet's policy: one version, everywhere or nowhere");
+  policy->require_subcommand(1);
+  Proposal proposal;
+  CLI::App* propose = to_relays(policy->add_subcommand(
+      "propose", "hand a change in; exit 0 in force, 1 aborted, 2 unusable, 3 undecided yet"));
+  propose->add_option("file", proposal.file, "a configuration, or the policy alone")->required();
+  propose->add_option("--id", proposal.id, "the same id again is the same change");
+  propose->add_flag("--wait", proposal.wait, "tell how it goes until it has ended");
+  propose->add_option("--timeout", proposal.patience_s, "seconds to wait at most")
+      ->check(CLI::PositiveNumber);
+  CLI::App* policy_now = to_relays(policy->add_subcommand(
+      "status", "what each holds and waits for; exit 1 where they differ or are shut"));
+  CLI::App* ended = to_relays(policy->add_subcommand("history", "how earlier changes ended"));
+  std::string from, to;
+  CLI::App* diff = to_relays(policy->add_subcommand("diff", "what a version changed; exit 1 where it did"));
+  diff->add_option("from", from)->required();
+  diff->add_option("to", to)->required();
+  CLI::App* abort = to_relays(policy->add_subcommand("abort", "end a change that is not decided"));
+  abort->add_option("id", from)->required();
+  CLI::App* replace =
+      to_relays(policy->add_subcommand("replace", "put one relay in another's place among the voters"));
+  replace->add_option("old", from)->required();
+  replace->add_option("new", to)->required();
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
@@ -105,6 +128,12 @@
   try {
     if (*status_command) return status(relays, as_json);
     if (*metrics_command) return metrics(relays.front(), as_json);
+    if (*propose) return propose_policy(relays, proposal);
+    if (*policy_now) return policy_status(relays);
+    if (*ended) return policy_history(relays);
+    if (*diff) return policy_diff(relays, from, to);
+    if (*abort) return policy_call(relays, "ABORT " + from);
+    if (*replace) return policy_call(relays, "REPLACE " + from + " " + to);
     return fleet_view(relays, watch, every_s);
   } catch (const std::exception& fault) {
     std::fprintf(stderr, "umberhoistctl: %s\n", fault.what());
--- a/fleet/consensus.cpp
+++ b/fleet/consensus.cpp
@@ -204,7 +204,7 @@
   static int send(raft_io* io, raft_io_send* request, const raft_message* message, raft_io_send_cb done) {
     Consensus& self = of(io);
     self.host_.carry(message->server_address, self.json_of(*message));
-    self.later([=] { done(request, 0); });
+    if (done != nullptr) self.later([=] { done(request, 0); });  // a hand-over of the reign wants none
     return 0;
   }
 
--- a/lab/clients.cpp
+++ b/lab/clients.cpp
@@ -2,93 +2,20 @@
 
 #include <xxhash.h>
 
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
-
 namespace umberhoist::lab {
 namespace {
 
 using Error = boost::system::error_code;
 
-constexpr double kAnswerWithin = 0.4;
 constexpr Range kLostAfter = {0.81, 2.0};  // what a lost machine held comes again
 constexpr int kMostIdle = 64;
 
-std::string hex(uint64_t value) {
-  char out[17];
-  std::snprintf(out, sizeof out, "%016llx", static_cast<unsigned long long>(value));
-  return out;
-}
-
-std::string resp(const std::vector<std::string>& words) {
-  std::string out = "*" + std::to_string(words.size()) + "\r\n";
-  for (const std::string& word : words) out += "$" + std::to_string(word.size()) + "\r\n" + word + "\r\n";
-  return out;
-}
-
 Effect effect_of(const std::string& name) {
   return name == "safe" ? Effect::kSafe : name == "keyed" ? Effect::kKeyed : Effect::kUnsafe;
 }
 
 }  // namespace
 
-class Clients::Connection : public std::enable_shared_from_this<Connection> {
- public:
-  using Done = std::function<void(const std::string& line, bool timed_out)>;  // empty line: it ended
-
-  explicit Connection(World& world) : world_(world), socket_(world.io), timer_(world.io) {}
-
-  void open(const tcp::endpoint& at, std::function<void(bool)> then) {
-    socket_.async_connect(at, [self = shared_from_this(), then = std::move(then)](const Error& error) {
-      Error ignored;
-      if (!error) self->socket_.set_option(tcp::no_delay(true), ignored);
-      then(!error);
-    });
-  }
-
-  void ask(const std::string& request, Done done) {
-    done_ = std::move(done);
-    out_ = request;
-    timer_.expires_after(std::chrono::milliseconds(static_cast<int>(kAnswerWithin * 1000)));
-    timer_.async_wait([self = shared_from_this()](const Error& error) {
-      if (!error) self->end("", true);
-    });
-    boost::asio::async_write(socket_, boost::asio::buffer(out_),
-                             [self = shared_from_this()](const Error& error, size_t) {
-                               if (error) self->end("", false);
-                             });
-    boost::asio::async_read_until(socket_, boost::asio::dynamic_buffer(in_, 512), '\n',
-                                  [self = shared_from_this()](const Error& error, size_t count) {
-                                    if (error) return self->end("", false);
-                                    const std::string line = self->in_.substr(0, count);
-                                    self->in_.erase(0, count);
-                                    self->end(line.substr(0, line.find_first_of("\r\n")), false);
-                                  });
-  }
-
-  void close() {
-    Error ignored;
-    timer_.cancel();
-    socket_.close(ignored);
-  }
-  bool open() const { return socket_.is_open(); }
-
- private:
-  void end(const std::string& line, bool timed_out) {
-    if (!done_) return;
-    timer_.cancel();
-    if (line.empty()) close();
-    std::exchange(done_, nullptr)(line, timed_out);
-  }
-
-  World& world_;
-  tcp::socket socket_;
-  boost::asio::steady_timer timer_;
-  std::string in_;
-  std::string out_;
-  Done done_;
-};
-
 Clients::Clients(World& world, Fleet& fleet)
     : world_(world),
       fleet_(fleet),
@@ -197,7 +124,7 @@
 
 void Clients::send(const std::shared_ptr<Try>& one, bool fresh) {
   auto& pool = idle_[static_cast<size_t>(one->relay)];
-  const auto ask = [this, one](const std::shared_ptr<Connection>& connection, bool kept) {
+  const auto ask = [this, one](const std::shared_ptr<RespConnection>& connection, bool kept) {
     if (world_.scenario.load.impatient > 0 && world_.unit() < world_.scenario.load.impatient) {
       world_.after(0.2 * world_.unit(), [connection] { connection->close(); });
       world_.figures.withdrawn(one->message);
@@ -224,7 +151,7 @@
     pool.pop_back();
     if (connection->open()) return ask(connection, true);
   }
-  auto connection = std::make_shared<Connection>(world_);
+  auto connection = std::make_shared<RespConnection>(world_);
   connection->open(fleet_.address(one->relay), [this, one, connection, ask](bool up) {
     if (up) return ask(connection, false);
     unheard(one, Answer::kGone);
--- a/lab/clients.h
+++ b/lab/clients.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "fleet.h"
+#include "resp.h"
 
 namespace umberhoist::lab {
 
@@ -17,7 +18,6 @@
   bool idle() const { return open_ == 0 && next_ >= world_.plan.messages.size(); }  // nobody waits any more
 
  private:
-  class Connection;
   struct Message {  // one of the plan, until it is over
     std::string key;
     int tries = 0;
@@ -55,7 +55,7 @@
   std::unordered_map<std::string, std::shared_ptr<Try>> tries_;  // by id
   std::vector<bool> alive_;                                      // as the front has it
   std::vector<int> lives_;                                       // of each relay, to tell late news from old
-  std::vector<std::vector<std::shared_ptr<Connection>>> idle_;   // by relay
+  std::vector<std::vector<std::shared_ptr<RespConnection>>> idle_;  // by relay
   boost::asio::steady_timer timer_;
 };
 
--- a/lab/figures.cpp
+++ b/lab/figures.cpp
@@ -153,6 +153,12 @@
   figures["cpu_relays_cores"] = std::accumulate(cpu_.begin(), cpu_.end(), 0.0) / std::max(1.0, end);
   figures["cpu_lab_cores"] = lab_cpu_;
   if (view_settled_ >= 0) figures["view_settle_s_slowest"] = view_settled_;
+  if (policy_in_force_ >= 0) {
+    figures["policy_in_force"] = policy_in_force_;
+    figures["policy_turned_down"] = policy_turned_down_;
+    figures["policy_mix_s_longest"] = policy_mix_;
+    figures["policy_taken_s_slowest"] = policy_slowest_;
+  }
   double slowest = 0;
   for (size_t i = 0; i < plan_.faults.size(); ++i) {
     const double took = recovered(plan_.faults[i], length);
--- a/lab/figures.h
+++ b/lab/figures.h
@@ -36,6 +36,12 @@
   void asked_for_list(double now, int relay);
   void used(double now, int relay, double cpu_s, double memory_bytes, int descriptors);
   void view_settled(double after) { view_settled_ = std::max(view_settled_, after); }
+  void policy(double longest_mix, double slowest, int in_force) {
+    policy_mix_ = longest_mix;
+    policy_slowest_ = slowest;
+    policy_in_force_ = in_force;
+  }
+  void policy_turned_down() { ++policy_turned_down_; }
   void lab_used(double share_of_core) { lab_cpu_ = share_of_core; }
 
   // {"figures":{...},"series":{...}}; the play ended at `end`.
@@ -76,6 +82,10 @@
   int descriptors_ = 0;
   double lab_cpu_ = 0;
   double view_settled_ = -1;  // the slowest
+  double policy_mix_ = -1;
+  double policy_slowest_ = -1;
+  int policy_in_force_ = -1;  // -1: none was changed
+  int policy_turned_down_ = 0;
   std::vector<std::pair<double, double>> memory_series_;
   using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
   decltype(boost::histogram::make_histogram(Axis(120, 1e-3, 1e2))) latency_;
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -12,6 +12,9 @@
 #include <cstring>
 #include <fstream>
 
+#include "../ctl/ask.h"
+#include "policies.h"
+
 namespace umberhoist::lab {
 namespace {
 
@@ -60,7 +63,7 @@
 
 fs::path Fleet::folder_of(int relay) const { return root_ / ("relay-" + std::to_string(relay)); }
 
-json Fleet::config_of(int relay) const {
+json Fleet::config_of(int relay, int generation) const {
   const Scenario& s = world_.scenario;
   json classes = json::array(), tenants = json::array();
   for (const ClassSpec& c : s.classes) {
@@ -73,6 +76,7 @@
                        {"worth", c.worth},
                        {"late_worth", c.late_worth}});
   }
+  if (s.changes_policy()) classes.push_back(marker_class(generation));
   for (const TenantSpec& t : s.tenants) tenants.push_back({{"name", t.name}, {"quota_per_s", 0.0}});
   const double part = s.load.rate / s.relays;
   const double pace = (s.partners.pace_s.low + s.partners.pace_s.high) / 2;
@@ -206,6 +210,7 @@
                                     Relay& r = of(relay);
                                     if (r.pid != pid || r.state != State::kStarting) return;
                                     if (failed || !probe->in.starts_with("+PONG")) return again();
+                                    if (network_ != nullptr && !playing_ && !open(relay)) return again();
                                     r.state = State::kUp;
                                     const double now = world_.now();
                                     world_.oracles.started(now, relay, now - r.started);
@@ -221,6 +226,15 @@
   });
 }
 
+// The fleet's first policy is in force: before that nothing is taken on.
+bool Fleet::open(int relay) const {
+  try {
+    return ctl::ask(text_of(second_address(relay)), "STATUS").ok;
+  } catch (const std::exception&) {
+    return false;
+  }
+}
+
 void Fleet::reap() {
   for (int i = 0; i < static_cast<int>(relays_.size()); ++i) {
     Relay& r = of(i);
@@ -348,7 +362,9 @@
       if (!file.is_regular_file() || file.file_size() == 0) continue;
       const size_t most = std::min<size_t>(40, file.file_size());
       const auto length = std::uniform_int_distribution<size_t>(1, most)(world_.chance);
-      std::string tail = slurp(file.path()).substr(file.file_size() - most, length);
+      const bool framed = file.path().filename() == "policy.records";
+      std::string tail =
+          slurp(file.path()).substr(framed ? 0 : file.file_size() - most, framed ? length % 20 + 1 : length);
       std::ofstream(file.path(), std::ios::binary | std::ios::app) << tail;
     }
   }
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -22,6 +22,9 @@
   // Starts all; calls back once all serve. Throws Unusable where the program cannot be started.
   void start(std::function<void()> ready);
 
+  // A relay's configuration, with the marker class of a generation of the policy where these are played.
+  nlohmann::json config_of(int relay, int generation = 0) const;
+
   size_t size() const { return relays_.size(); }
   tcp::endpoint address(int relay) const { return relays_.at(static_cast<size_t>(relay)).listen; }
   const tcp::endpoint& second_address(int relay) const {
@@ -60,9 +63,9 @@
   };
 
   std::filesystem::path folder_of(int relay) const;
-  nlohmann::json config_of(int relay) const;
   void launch(int relay);
   void probe(int relay);
+  bool open(int relay) const;
   void reap();
   void gone(int relay, int status);
   void prepare_folder(int relay, const std::string& how);
--- a/lab/oracle.cpp
+++ b/lab/oracle.cpp
@@ -9,7 +9,7 @@
 const char* const kNames[] = {"final_answer", "client_answered", "one_attempt_out", "no_second_run",
                               "drains_kept",  "waits_kept",      "cold_not_pushed", "call_intact",
                               "limits_kept",  "clean_end",       "starts",          "no_orphan",
-                              "view_settles"};
+                              "view_settles", "one_policy"};
 
 std::string seconds(double t) {
   char out[32];
@@ -35,6 +35,66 @@
   state.first = "at " + seconds(now) + ", relay " + std::to_string(relay) + ": " + what;
 }
 
+void Oracles::acted(double now, double asked, int relay, int generation) {
+  ++of("one_policy").checked;
+  Policies& p = policies_;
+  const auto since = p.first.try_emplace(generation, now).first->second;
+  p.taken[generation].try_emplace(relay, now);
+  if (const auto proposed = p.proposed.find(generation); proposed != p.proposed.end()) {
+    p.slowest = std::max(p.slowest, p.taken[generation][relay] - proposed->second);
+  }
+  const std::string name = std::to_string(generation);
+  for (const auto& [other, first] : p.first) {
+    if (first <= since) continue;
+    // It was asked after the other was in force.
+    p.longest_mix = std::max(p.longest_mix, asked - first);
+    if (asked > first + rules_.policy_mix + rules_.slack) {
+      broke("one_policy", now, relay,
+            "took a message on under policy " + name + " " + seconds(asked - first) + " after " +
+                std::to_string(other) + " was in force");
+    }
+  }
+  auto& [last, when] = p.last[relay];
+  if (when > 0 && last != generation && asked > when && p.first[last] > since) {
+    broke("one_policy", now, relay, "acts under policy " + name + " again after " + std::to_string(last));
+  }
+  if (now >= when) {
+    last = generation;
+    when = now;
+  }
+}
+
+void Oracles::change_ended(double now, int relay, int generation, bool in_force) {
+  ++of("one_policy").checked;
+  const auto seen = policies_.first.find(generation);
+  if (!in_force && seen != policies_.first.end()) {
+    broke("one_policy", now, relay,
+          "says that policy " + std::to_string(generation) + " never took hold, and one acted under it at " +
+              seconds(seen->second));
+  }
+}
+
+void Oracles::acts_at_end(double now, int relay) {
+  ++of("one_policy").checked;
+  int newest = 0;
+  double since = -1;
+  for (const auto& [generation, first] : policies_.first) {
+    if (first > since) {
+      since = first;
+      newest = generation;
+    }
+  }
+  const auto last = policies_.last.find(relay);
+  if (last == policies_.last.end() || last->second.first != newest ||
+      now - last->second.second > rules_.policy_mix) {
+    broke("one_policy", now, relay,
+          "does not act under policy " + std::to_string(newest) + " as the play ends" +
+              (last == policies_.last.end() ? std::string()
+                                            : ", but last under " + std::to_string(last->second.first) + " " +
+                                                  seconds(now - last->second.second) + " ago"));
+  }
+}
+
 bool Oracles::held() const {
   return std::ranges::none_of(states_, [](const auto& entry) { return entry.second.broken > 0; });
 }
--- a/lab/oracle.h
+++ b/lab/oracle.h
@@ -20,13 +20,14 @@
 
 struct Rules {  // of the play; slack is added here and nowhere else
   double drain_grace = 2;
-  double slack = 0.05;           // every limit is so much longer on sockets
-  double final_slack = 0.3;      // after a message's time is up
-  double restart_slack = 1.5;    // after the relay is ready again, for what came due meanwhile
-  double wait_grace = 0.1;       // calls that arrive so soon after a told wait had been sent before
-  double end_within = 3.7;       // of SIGTERM
-  double ready_within = 10;      // of a start
-  double dropped_share = 0.005;  // of the requests may be closed with no answer
+  double slack = 0.05;         // every limit is so much longer on sockets
+  double final_slack = 0.3;    // after a message's time is up
+  double restart_slack = 1.5;  // after the relay is ready again, for what came due meanwhile
+  double wait_grace = 0.1;     // calls that arrive so soon after a told wait had been sent before
+  double end_within = 3.7;     // of SIGTERM
+  double ready_within = 10;    // of a start
+  double policy_mix = 3.0 * (1 + 2 / 500.0);  // two policies are in force at once for so long at most
+  double dropped_share = 0.005;               // of the requests may be closed with no answer
   double memory_bytes = 192e6;
   double disk_bytes = 3e6;
   int sockets = 1024;
@@ -88,6 +89,23 @@
   void view(double now, double took, double most, const std::string& wrong);
   void left_behind(double now, int relay, const std::string& what);
 
+  // The fleet's policy, by generations. A relay took a message on under one, asked at `asked`.
+  void acted(double now, double asked, int relay, int generation);
+  void proposed(double now, int generation) { policies_.proposed[generation] = now; }
+  // A relay says how a change ended.
+  void change_ended(double now, int relay, int generation, bool in_force);
+  // A relay serves as the play ends: it must have acted under the newest, a moment ago.
+  void acts_at_end(double now, int relay);
+  struct Policies {
+    std::map<int, double> proposed;
+    std::map<int, double> first;                 // generation: when one was first seen to act under it
+    std::map<int, std::pair<int, double>> last;  // relay: under which it acted last, and when
+    std::map<int, std::map<int, double>> taken;  // generation: relays, and when each first acted under it
+    double longest_mix = 0;                      // seconds that two were acted under
+    double slowest = -1;                         // from a proposal until the last relay acted under it
+  };
+  const Policies& policies() const { return policies_; }
+
   // The play is over: what is still owed and due is lost.
   void finish(double now);
 
@@ -136,6 +154,7 @@
   std::vector<std::map<int, std::pair<double, double>>> waits_;  // of each relay: told, until
   std::map<int, Outage> outages_;
   std::map<int, std::set<int>> failed_at_;  // destination: relays that saw a failure in its outage
+  Policies policies_;
   uint64_t requests_ = 0;
   uint64_t dropped_ = 0;
   std::map<std::string, State> states_;
--- a/lab/play.cpp
+++ b/lab/play.cpp
@@ -10,6 +10,7 @@
 #include <thread>
 
 #include "clients.h"
+#include "policies.h"
 #include "views.h"
 
 namespace umberhoist::lab {
@@ -60,6 +61,10 @@
     fleet_ = std::make_unique<Fleet>(world_, options.folder, options.program, agents_, network_.get());
     clients_ = std::make_unique<Clients>(world_, *fleet_);
     if (scenario.fleet) views_ = std::make_unique<Views>(world_, *fleet_);
+    if (scenario.changes_policy()) {
+      if (!scenario.fleet) throw Unusable("a fault changes the policy, but fleet is not true");
+      policies_ = std::make_unique<Policies>(world_, *fleet_, options.folder);
+    }
   }
 
   json run() {
@@ -106,6 +111,7 @@
       });
     }
     clients_->start();
+    if (policies_) policies_->start();
     progress();
     world_.after(scenario_.length_s, [this] { settle(); });
   }
@@ -129,6 +135,8 @@
       }
     } else if (f.kind == "drain") {
       for (const int p : f.targets) drain(p);
+    } else if (f.kind == "policy") {
+      policies_->propose(f.targets, f.state == "aborted");
     } else if (f.kind == "net") {
       strike_network(f);
     } else {
@@ -184,6 +192,7 @@
     end_ = world_.now();
     world_.figures.lab_used((own_cpu() - cpu_) / std::max(0.1, end_));
     if (views_) views_->finish();
+    if (policies_) policies_->finish();
     world_.oracles.finish(end_);
     say("ending the relays");
     fleet_->end([this] { done(); });
@@ -248,6 +257,7 @@
   std::unique_ptr<Fleet> fleet_;
   std::unique_ptr<Clients> clients_;
   std::unique_ptr<Views> views_;
+  std::unique_ptr<Policies> policies_;
   bool begun_ = false;
   bool over_ = false;
   bool interrupted_ = false;
--- /dev/null
+++ b/lab/policies.cpp
@@ -0,0 +1,125 @@
+#include "policies.h"
+
+#include <xxhash.h>
+
+#include <fstream>
+
+#include "../ctl/ask.h"
+
+namespace umberhoist::lab {
+namespace {
+
+constexpr double kEvery = 0.3;  // seconds between two looks
+constexpr int kLookedAt = 3;    // generations, the newest
+constexpr double kGiveUp = 4;   // of a marker; each generation's differs, as a rename would be turned down
+constexpr size_t kBody = 100;
+
+}  // namespace
+
+nlohmann::json marker_class(int generation) {
+  return {{"name", "m" + std::to_string(generation)},
+          {"semantics", "safe"},
+          {"key_scope", "all"},
+          {"key_ttl_s", 15.0},
+          {"target_s", 1.0},
+          {"give_up_s", kGiveUp + 0.01 * generation},
+          {"worth", 1.0},
+          {"late_worth", 0.1}};
+}
+
+void Policies::start() { mark(); }
+
+void Policies::mark() {
+  if (over_) return;
+  for (int r = 0; r < static_cast<int>(fleet_.size()); ++r) {
+    if (!fleet_.serving(r)) continue;
+    for (int g = std::max(0, last_ - kLookedAt + 1); g <= last_; ++g) hand_in(r, g);
+  }
+  world_.after(kEvery, [this] { mark(); });
+}
+
+void Policies::hand_in(int relay, int generation) {
+  const std::string id = hex(world_.chance());
+  const double sent = world_.now(), due = sent + kGiveUp;
+  const int destination = static_cast<int>(world_.chance() % world_.plan.partners.size());
+  std::string facts = "c=m" + std::to_string(generation);
+  if (!world_.scenario.tenants.empty()) facts += ",t=" + world_.scenario.tenants.front().name;
+  facts += ",d=" + std::to_string(static_cast<int>(kGiveUp * 1000)) + ",dest=" + std::to_string(destination);
+  const std::string body = std::string(kBody, ' ');
+  HandIn hand;
+  hand.relay = relay;
+  hand.effect = Effect::kSafe;
+  hand.destination = destination;
+  hand.due = due;
+  hand.body = XXH64(body.data(), body.size(), 0);
+  world_.oracles.handed_in(id, std::move(hand));
+  auto connection = std::make_shared<RespConnection>(world_);
+  const std::string request = resp({"MSG.PUT", "0000000000000000", id, facts, body});
+  connection->open(fleet_.address(relay), [this, relay, generation, id, request, connection](bool up) {
+    if (!up) return world_.oracles.answered(world_.now(), id, Answer::kGone);
+    const double asked = world_.now();
+    connection->ask(
+        request, [this, relay, generation, id, connection, asked](const std::string& line, bool timed_out) {
+          const double now = world_.now();
+          connection->close();
+          const bool taken = line.starts_with("+");
+          const Answer how = taken                       ? Answer::kTaken
+                             : line.starts_with("-BUSY") ? Answer::kRefused
+                             : !line.empty()             ? Answer::kFailed
+                             : timed_out                 ? Answer::kSilent
+                             : fleet_.away(relay)        ? Answer::kGone
+                                                         : Answer::kClosed;
+          world_.oracles.answered(now, id, how);
+          if (taken) world_.oracles.acted(now, asked, relay, generation);
+        });
+  });
+}
+
+int Policies::serving_from(int relay) const {
+  for (int n = 0; n < static_cast<int>(fleet_.size()); ++n) {
+    const int r = (relay + n) % static_cast<int>(fleet_.size());
+    if (fleet_.serving(r)) return r;
+  }
+  return -1;
+}
+
+void Policies::propose(const std::vector<int>& relays, bool aborted) {
+  for (const int wanted : relays) {
+    const int r = serving_from(wanted);
+    if (r < 0) continue;
+    const int generation = ++last_;
+    const std::string path = folder_ + "/policy-" + std::to_string(generation) + ".json";
+    std::ofstream(path) << fleet_.config_of(r, generation).dump(1);
+    const std::string id = "g" + std::to_string(generation);
+    try {
+      const auto reply = ctl::ask(text_of(fleet_.second_address(r)), "POLICY PROPOSE " + id + " " + path);
+      if (!reply.ok) world_.figures.policy_turned_down();
+      world_.oracles.proposed(world_.now(), generation);
+      if (aborted) (void)ctl::ask(text_of(fleet_.second_address(serving_from(r + 1))), "POLICY ABORT " + id);
+    } catch (const std::exception&) {
+      world_.figures.policy_turned_down();
+    }
+  }
+}
+
+void Policies::finish() {
+  over_ = true;
+  for (int r = 0; r < static_cast<int>(fleet_.size()); ++r) {
+    if (!fleet_.serving(r)) continue;
+    try {
+      const auto reply = ctl::ask(text_of(fleet_.second_address(r)), "POLICY HISTORY");
+      for (const std::string& line : reply.lines) {
+        if (!line.starts_with("g")) continue;
+        const bool in_force = line.find(" in_force ") != std::string::npos;
+        world_.oracles.change_ended(world_.now(), r, std::atoi(line.c_str() + 1), in_force);
+      }
+    } catch (const std::exception&) {
+      continue;
+    }
+    world_.oracles.acts_at_end(world_.now(), r);
+  }
+  const auto& seen = world_.oracles.policies();
+  world_.figures.policy(seen.longest_mix, seen.slowest, static_cast<int>(seen.first.size()) - 1);
+}
+
+}  // namespace umberhoist::lab
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -112,9 +112,10 @@
 void read_fault(Reader& in, FaultSpec& out) {
   in.text("kind", out.kind,
           {"kill", "term", "stop", "roll", "partner", "limit", "drain", "discovery", "surge", "hot", "net",
-           "disk"});
+           "disk", "policy"});
   if (out.kind.empty()) throw Unusable("a fault has no kind");
-  in.text("state", out.state, {"down", "silent", "hung", "slow", "lossy", "errors", "shut", "mute", "late"});
+  in.text("state", out.state,
+          {"down", "silent", "hung", "slow", "lossy", "errors", "shut", "mute", "late", "aborted"});
   in.text("folder", out.folder, {"kept", "emptied", "torn"});
   in.text("direction", out.direction, {"both", "one"});
   in.range("at_s", out.at_s);
@@ -350,6 +351,10 @@
   return out;
 }
 
+bool Scenario::changes_policy() const {
+  return std::ranges::any_of(faults, [](const FaultSpec& f) { return f.kind == "policy"; });
+}
+
 bool Fault::of_partners() const {
   return kind == "partner" || kind == "limit" || kind == "hot" || kind == "drain";
 }
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -94,7 +94,8 @@
 // What a fault does and to how many; which ones, the seed draws.
 struct FaultSpec {
   std::string kind;
-  std::string state;  // partner: down silent hung slow lossy errors shut; discovery: mute late; folder
+  std::string
+      state;  // partner: down silent hung slow lossy errors shut; discovery: mute late; policy: aborted
   std::string folder = "kept";  // kill, term, roll: kept emptied torn
   Range at_s = {0, 0};
   Range for_s = {0, 0};
@@ -133,6 +134,8 @@
   std::vector<ClassSpec> classes;
   std::vector<TenantSpec> tenants;
   std::vector<FaultSpec> faults;
+
+  bool changes_policy() const;  // of the fleet
 };
 
 // Reads a file with `set` (KEY=VALUE, a dotted path) laid over it. Throws Unusable.
--- a/relay/config.h
+++ b/relay/config.h
@@ -59,6 +59,16 @@
 // Of the file; what the environment says of this process alone is laid over it.
 Config load_config(const std::string& path, const std::string& state);
 
+// The fleet's policy: the part of `settings` that all relays share. Its text is canonical: equal policies
+// have equal texts.
+std::string policy_of(const Config& config);
+// Of a file that staff names: a configuration, or the policy alone. Throws std::exception.
+std::string policy_in(const std::string& file);
+// This configuration under another policy. Throws std::exception where it does not hold together.
+Config with_policy(const Config& config, const std::string& policy);
+// Why `policy` is no change that may be made to that of `config`; empty: it is one.
+std::string policy_fault(const Config& config, const std::string& policy);
+
 // A few lines for a person: what a configuration means.
 std::string describe(const Config& config);
 
--- a/relay/custody.cpp
+++ b/relay/custody.cpp
@@ -61,7 +61,7 @@
   return number;
 }
 
-std::string Custody::decided(uint64_t number, const Action* away) {
+std::string Custody::decided(uint64_t number, const Action* away, bool shut) {
   const auto held = held_.find(number);
   const Handed& handed = held->second.handed;
   std::string line = "+OK";
@@ -72,7 +72,7 @@
   } else if (away != nullptr) {
     line = "-ERR failed";
     figures_.failed(handed.message_class);
-  } else if (!journal_.accepted(handed)) {
+  } else if (shut || !journal_.accepted(handed)) {
     line = "-BUSY";  // it could not be written, though there seemed to be room
     figures_.refused(handed.message_class, Figures::Place::kDoor, Reason::kRoom);
     happened_(Withdrawn{number});
--- a/relay/custody.h
+++ b/relay/custody.h
@@ -39,7 +39,8 @@
   std::variant<uint64_t, std::string> put(Handed handed);
   // It is the relay's from the moment that its record is written; only then its client is told, and only then
   // it may be sent. `away`: the action that turns it away, if there is one.
-  std::string decided(uint64_t number, const Action* away);
+  // `shut`: the door was shut meanwhile, and it is not written.
+  std::string decided(uint64_t number, const Action* away, bool shut = false);
   // Messages from before a restart, or from another process, are the module's to decide on, like any other.
   void resume(const std::vector<Recovered>& entries, bool pause = false);
 
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -47,13 +47,15 @@
   return out;
 }
 
-FleetLink::FleetLink(boost::asio::io_context& io, const Config& config, std::string version, Counted counted)
+FleetLink::FleetLink(boost::asio::io_context& io, const Config& config, std::string version, Counted counted,
+                     PolicyLink::Host host)
     : io_(io),
       settings_(*config.fleet),
       state_(config.state),
       counted_(std::move(counted)),
       socket_(io),
       timer_(io),
+      policy_(io, config, version, std::move(host)),
       view_(membership_settings(config, std::move(version)), config.seed),
       count_(static_cast<int>(settings_.peers.size()), settings_.term) {
   const udp::endpoint at(settings_.bind.address(), settings_.bind.port());
@@ -85,9 +87,10 @@
   }
 }
 
-void FleetLink::retune(const FleetSettings& next) {
+void FleetLink::retune(const Config& config) {
+  policy_.retune(config);
   const auto bind = settings_.bind;
-  settings_ = next;
+  settings_ = *config.fleet;
   settings_.bind = bind;
   learn_addresses();
   std::vector<std::string> names;
@@ -103,6 +106,7 @@
 
 void FleetLink::leave() {
   view_.leave(steady_now());
+  policy_.leave();
   step();
 }
 
@@ -249,7 +253,7 @@
   line("datagrams_dropped_total{reason=\"stranger\"}", dropped.stranger);
   line("datagrams_dropped_total{reason=\"other_name\"}", dropped.other_name);
   line("datagrams_dropped_total{reason=\"itself\"}", dropped.itself);
-  return out;
+  return out + policy_.figures();
 }
 
 }  // namespace firspool::relay
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -15,6 +15,7 @@
 #include "../fleet/membership.h"
 #include "budget.h"
 #include "config.h"
+#include "policy_link.h"
 
 namespace firspool::relay {
 
@@ -23,14 +24,18 @@
   using Counted = std::function<void(int relays)>;  // for so many this relay counts from now on
 
   // Binds and joins. Throws std::exception where the address is taken: another process has this name.
-  FleetLink(boost::asio::io_context& io, const Config& config, std::string version, Counted counted);
+  FleetLink(boost::asio::io_context& io, const Config& config, std::string version, Counted counted,
+            PolicyLink::Host host);
   ~FleetLink();
 
   // Peers of another configuration; its own address stays.
-  void retune(const FleetSettings& settings);
+  void retune(const Config& config);
   // Says that this relay leaves; it answers until it is gone.
   void leave();
 
+  PolicyLink& policy() { return policy_; }
+  const PolicyLink& policy() const { return policy_; }
+
   // The reply to FLEET: a line each member, then END.
   std::string members() const;
   // Lines of METRICS.
@@ -54,6 +59,7 @@
   Counted counted_;
   udp::socket socket_;
   boost::asio::steady_timer timer_;
+  PolicyLink policy_;
   umberhoist::fleet::Membership view_;
   umberhoist::fleet::Count count_;
   std::map<std::string, udp::endpoint> addresses_;
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -82,7 +82,8 @@
     boost::asio::signal_set ends(io, SIGTERM, SIGINT);
     boost::asio::signal_set changes(io, SIGHUP);
     firspool::relay::Relay relay(
-        io, firspool::relay::load_config(given.config, given.state), [](const auto& address) {
+        io, firspool::relay::under_stored_policy(firspool::relay::load_config(given.config, given.state)),
+        [](const auto& address) {
           const std::string at = address.address().to_string() + ":" + std::to_string(address.port());
           firspool::relay::log_info("listening", "listening on " + at, {{"address", at}});
         });
--- a/relay/operator.cpp
+++ b/relay/operator.cpp
@@ -9,7 +9,7 @@
 using tcp = boost::asio::ip::tcp;
 using Error = boost::system::error_code;
 
-constexpr size_t kMostLine = 128;
+constexpr size_t kMostLine = 1024;
 constexpr auto kPatience = std::chrono::seconds(1);  // for a caller's line, and for it to take the reply
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -27,7 +27,8 @@
 
 // Where a successor may come, it has descriptors of its own beside this process's.
 size_t most_clients(const Config& config) {
-  const size_t own = kOwnDescriptors + (config.operator_address ? Operator::kDescriptors : 0);
+  const size_t own = kOwnDescriptors + (config.operator_address ? Operator::kDescriptors : 0) +
+                     (config.fleet ? FleetWire::descriptors(*config.fleet) : 0);
   const size_t others =
       (config.inherited ? 2 * own : own) + static_cast<size_t>(config.settings.slots) + most_idle(config);
   return std::max(config.sockets / 3, config.sockets - std::min(others, config.sockets));
@@ -68,7 +69,8 @@
       replies_(custody_, directory_, upstream_,
                [this] {
                  const bool serving = clients_ && stopping_since_ == 0 && !handing_;
-                 return Replies::State{serving, clients_ ? clients_->open() : 0, avoided_};
+                 return Replies::State{serving, fleet_ ? fleet_->policy().closed() : "",
+                                       clients_ ? clients_->open() : 0, avoided_};
                }),
       watch_(
           io, config.discovery, config.names, AskTimes(config.settings, config.seed),
@@ -153,9 +155,26 @@
 // A successor joins once it serves: its predecessor has the address until then.
 void Relay::join_fleet() {
   if (!config_.fleet || fleet_) return;
-  fleet_.emplace(io_, config_, UMBERHOIST_VERSION, [this](int relays) {
-    if (!config_.fleet->count_view || std::exchange(relays_, relays) == relays) return;
-    apply_share();
+  PolicyLink::Host host;
+  host.check = [this](const std::string& policy) -> std::string {
+    try {
+      (void)with_policy(config_, policy);
+      return "";
+    } catch (const std::exception& fault) {
+      return fault.what();
+    }
+  };
+  host.fault = [this](const std::string& policy) { return policy_fault(config_, policy); };
+  host.adopt = [this](const std::string& policy) { take(with_policy(config_, policy)); };
+  fleet_.emplace(
+      io_, config_, UMBERHOIST_VERSION,
+      [this](int relays) {
+        if (!config_.fleet->count_view || std::exchange(relays_, relays) == relays) return;
+        apply_share();
+      },
+      std::move(host));
+  replies_.add("POLICY", [this](const std::string& rest) {
+    return fleet_ ? fleet_->policy().call(rest) : "ERR not in the fleet now\n";
   });
   replies_.add("FLEET", [this](const std::string&) {
     return fleet_ ? fleet_->members() : "ERR not in the fleet now\n";
@@ -198,6 +217,7 @@
 
 void Relay::put(Handed handed, Clients::Answer answer) {
   if (share_.ids.contains(handed.id)) return answer("+OK");  // a predecessor holds it
+  if (shut() && !custody_.number_of(handed.id)) return answer(fenced_line());
   const auto put = custody_.put(std::move(handed));
   if (const auto* line = std::get_if<std::string>(&put)) return answer(*line);
   pending_.push_back({std::get<uint64_t>(put), std::move(answer)});
@@ -288,7 +308,8 @@
   for (const Pending& item : pending) {
     if (custody_.find(item.number) == nullptr) continue;
     const auto away = turned_away.find(item.number);
-    item.answer(custody_.decided(item.number, away == turned_away.end() ? nullptr : away->second));
+    const Action* turned = away == turned_away.end() ? nullptr : away->second;
+    item.answer(custody_.decided(item.number, turned, turned == nullptr && shut()));
   }
 }
 
@@ -365,6 +386,9 @@
     if (const std::string key = missing_key(config_, next); !key.empty()) {
       throw std::invalid_argument(key + " is missing");
     }
+    if (config_.fleet && policy_of(next) != policy_of(config_)) {
+      throw std::invalid_argument("its policy is not the fleet's: that is changed by POLICY PROPOSE");
+    }
   } catch (const std::exception& fault) {
     custody_.figures().reloaded(false);
     log_event(LogLevel::kWarning, "config_kept",
@@ -372,6 +396,12 @@
     return;
   }
   custody_.figures().reloaded(true);
+  take(std::move(next));
+  log_info("config_taken", "configuration is taken: " + std::to_string(custody_.classes()) + " classes",
+           {{"classes", custody_.classes()}});
+}
+
+void Relay::take(Config next) {
   const bool moved = next.discovery != config_.discovery;
   next.listen = config_.listen;
   next.inherited = config_.inherited;
@@ -379,7 +409,7 @@
   if (!config_.fleet) next.fleet.reset();  // begins with the next start
   config_ = std::move(next);
   custody_.retune(config_.settings);
-  if (fleet_) fleet_->retune(*config_.fleet);
+  if (fleet_) fleet_->retune(config_);
   upstream_.retune(upstream_limits(config_), config_.report_fields);
   watch_.rename(config_.names);
   apply_share();
@@ -388,8 +418,13 @@
     watch_.move(config_.discovery);
     custody_.notices().move(config_.discovery);
   }
-  log_info("config_taken", "configuration is taken: " + std::to_string(custody_.classes()) + " classes",
-           {{"classes", custody_.classes()}});
+}
+
+bool Relay::shut() const { return config_.fleet && !(fleet_ && fleet_->policy().open()); }
+
+std::string Relay::fenced_line() {
+  if (!fleet_) return "-BUSY";
+  return fleet_->policy().busy_line(config_.settings.retry_after_heard, config_.settings.max_retry_after);
 }
 
 // The list as it is known, read with the names of the settings as they are now.
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -73,6 +73,9 @@
   size_t client_limit() const;
   void arm();
   void join_fleet();
+  void take(Config next);
+  std::string fenced_line();
+  bool shut() const;  // the fleet's fence: nothing new is taken on
   void wait_for_end();
   void report();
   // Upgrade (upgrade.cpp): as the successor of another process,
--- a/relay/replies.cpp
+++ b/relay/replies.cpp
@@ -5,7 +5,11 @@
 namespace firspool::relay {
 
 std::string Replies::to(const std::string& call) const {
-  if (call == "STATUS") return state_().serving ? "OK serving\n" : "ERR not serving\n";
+  if (call == "STATUS") {
+    const State now = state_();
+    if (!now.serving) return "ERR not serving\n";
+    return now.fenced.empty() ? "OK serving\n" : "ERR fenced: " + now.fenced + "\n";
+  }
   if (call == "METRICS") return "OK\n" + figures() + (more_figures_ ? more_figures_() : "") + "END\n";
   const size_t space = call.find(' ');
   const auto part = parts_.find(call.substr(0, space));
--- a/relay/replies.h
+++ b/relay/replies.h
@@ -14,6 +14,7 @@
  public:
   struct State {  // of the process, as it is now
     bool serving = false;
+    std::string fenced;  // why it takes on nothing new, though it serves
     size_t clients = 0;
     size_t excluded = 0;  // listed hosts that the module passes over
   };
--- a/tests/fleet/agreement_test.cpp
+++ b/tests/fleet/agreement_test.cpp
@@ -237,6 +237,29 @@
   EXPECT_EQ(ended(3, "d"), "in_force");
 }
 
+TEST_F(AgreementTest, ALeaderThatLeavesHandsItsReignOnAndIsNotWaitedFor) {
+  for (const bool at_once : {true, false}) {
+    SCOPED_TRACE(at_once);
+    audit = PolicyAudit(kTerm);
+    folders.clear();
+    begin(5);
+    const int left = leader();
+    staff(left, [&](Agreement& a, Time now) {
+      a.leave(now);
+      return std::string();
+    });
+    if (at_once) net->crash(left);  // its process ends with the hand-over under way
+    run(kPeriod);
+    if (!at_once) net->crash(left);
+    const Time asked = net->now();
+    run(4 * kPeriod);
+    propose(other_than(left), "c", "need=1 c");
+    while (!ended_anywhere("c") && net->now() < asked + 4 * kTerm) run(kPeriod / 5);
+    EXPECT_LE(net->now() - asked, 2 * kTerm);
+    EXPECT_NE(leader(), left);
+  }
+}
+
 TEST_F(AgreementTest, AVoterIsReplacedByCommand) {
   begin(5);
   const int old = other_than(leader());
