See by clients which policy relays act under, also with five changes at once and isolated relays

Cause: the lab looked at three generations of the policy only, all relays at one moment; it saw no mixed time and missed the winner of five changes handed in at once. The fleet's TCP listener bound before UDP and its refusal named nobody. Change: the last two seen in force and all proposed after are looked at, each relay at its own moments; relay.isolated in scenarios; the policy's part begins once the address is this process's.

--- a/lab/network.cpp
+++ b/lab/network.cpp
@@ -112,8 +112,9 @@
     peers.push_back(
         {{"name", "n" + std::to_string(i)}, {"address", text_of(way_to(relay, i))}, {"voter", i < voters}});
   }
-  return {{"cluster", "lab"}, {"bind", text_of(bound(relay))}, {"peers", peers}, {"period_ms", 500},
-          {"term_ms", 3000},  {"isolated", "refuse"}};
+  return {{"cluster", "lab"}, {"bind", text_of(bound(relay))},
+          {"peers", peers},   {"period_ms", 500},
+          {"term_ms", 3000},  {"isolated", world_.scenario.relay.isolated}};
 }
 
 void PairNetwork::receive(int from, int to) {
--- a/lab/policies.cpp
+++ b/lab/policies.cpp
@@ -2,6 +2,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <fstream>
 
 #include "../ctl/ask.h"
@@ -10,7 +11,7 @@
 namespace {
 
 constexpr double kEvery = 0.3;  // seconds between two looks
-constexpr int kLookedAt = 3;    // generations, the newest
+constexpr int kLookedAt = 9;    // generations at once
 constexpr double kGiveUp = 4;   // of a marker; each generation's differs, as a rename would be turned down
 constexpr size_t kBody = 100;
 
@@ -27,15 +28,31 @@
           {"late_worth", 0.1}};
 }
 
-void Policies::start() { mark(); }
+void Policies::start() {
+  for (int r = 0; r < static_cast<int>(fleet_.size()); ++r) mark(r);
+}
+
+// The last two that were seen in force, and all that were proposed after.
+std::vector<int> Policies::candidates() const {
+  std::vector<std::pair<double, int>> seen;
+  for (const auto& [generation, first] : world_.oracles.policies().first)
+    seen.emplace_back(first, generation);
+  std::ranges::sort(seen, std::greater<>());
+  std::vector<int> out;
+  for (size_t i = 0; i < std::min<size_t>(2, seen.size()); ++i) out.push_back(seen[i].second);
+  const int newest = out.empty() ? -1 : out.front();
+  for (int g = last_; g > newest && static_cast<int>(out.size()) < kLookedAt; --g) {
+    if (std::ranges::find(out, g) == out.end()) out.push_back(g);
+  }
+  return out;
+}
 
-void Policies::mark() {
+void Policies::mark(int r) {
   if (over_) return;
-  for (int r = 0; r < static_cast<int>(fleet_.size()); ++r) {
-    if (!fleet_.serving(r)) continue;
-    for (int g = std::max(0, last_ - kLookedAt + 1); g <= last_; ++g) hand_in(r, g);
+  for (const int g : candidates()) {
+    if (fleet_.serving(r)) hand_in(r, g);
   }
-  world_.after(kEvery, [this] { mark(); });
+  world_.after(kEvery * (0.5 + world_.unit()), [this, r] { mark(r); });
 }
 
 void Policies::hand_in(int relay, int generation) {
--- a/lab/policies.h
+++ b/lab/policies.h
@@ -23,7 +23,8 @@
   void finish();
 
  private:
-  void mark();
+  void mark(int relay);
+  std::vector<int> candidates() const;
   void hand_in(int relay, int generation);
   int serving_from(int relay) const;
 
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -292,6 +292,7 @@
     r.number("disk_mb", p.disk_mb);
     r.number("ready_s", p.ready_s);
     r.range("wall_offset_s", p.wall_offset_s, true);
+    r.text("isolated", p.isolated, {"refuse", "serve"});
     r.text("other", p.other);
     r.number("others", p.others);
   });
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -85,10 +85,11 @@
   double memory_mb = 192;
   int sockets = 1024;
   double disk_mb = 3;
-  double ready_s = 10;           // it serves so soon after its start
-  Range wall_offset_s = {0, 0};  // its wall clock is off by so much
-  std::string other;             // another build of the program
-  int others = 0;                // so many relays run it
+  double ready_s = 10;              // it serves so soon after its start
+  Range wall_offset_s = {0, 0};     // its wall clock is off by so much
+  std::string isolated = "refuse";  // or serve: what one does that does not hear the fleet
+  std::string other;                // another build of the program
+  int others = 0;                   // so many relays run it
 };
 
 // What a fault does and to how many; which ones, the seed draws.
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -47,7 +47,7 @@
   return out;
 }
 
-FleetLink::FleetLink(boost::asio::io_context& io, const Config& config, std::string version, Counted counted,
+FleetLink::FleetLink(boost::asio::io_context& io, const Config& config, std::string program, Counted counted,
                      PolicyLink::Host host)
     : io_(io),
       settings_(*config.fleet),
@@ -55,13 +55,13 @@
       counted_(std::move(counted)),
       socket_(io),
       timer_(io),
-      policy_(io, config, version, std::move(host)),
-      view_(membership_settings(config, std::move(version)), config.seed),
+      view_(membership_settings(config, program), config.seed),
       count_(static_cast<int>(settings_.peers.size()), settings_.term) {
   const udp::endpoint at(settings_.bind.address(), settings_.bind.port());
   try {
     socket_.open(udp::v4());
     socket_.bind(at);
+    policy_.emplace(io, config, program, std::move(host));
   } catch (const boost::system::system_error& fault) {
     throw std::runtime_error("fleet: " + config.name + " cannot bind " +
                              settings_.bind.address().to_string() + ":" +
@@ -88,7 +88,7 @@
 }
 
 void FleetLink::retune(const Config& config) {
-  policy_.retune(config);
+  policy_->retune(config);
   const auto bind = settings_.bind;
   settings_ = *config.fleet;
   settings_.bind = bind;
@@ -106,7 +106,7 @@
 
 void FleetLink::leave() {
   view_.leave(steady_now());
-  policy_.leave();
+  policy_->leave();
   step();
 }
 
@@ -253,7 +253,7 @@
   line("datagrams_dropped_total{reason=\"stranger\"}", dropped.stranger);
   line("datagrams_dropped_total{reason=\"other_name\"}", dropped.other_name);
   line("datagrams_dropped_total{reason=\"itself\"}", dropped.itself);
-  return out + policy_.figures();
+  return out + policy_->figures();
 }
 
 }  // namespace firspool::relay
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -24,7 +24,7 @@
   using Counted = std::function<void(int relays)>;  // for so many this relay counts from now on
 
   // Binds and joins. Throws std::exception where the address is taken: another process has this name.
-  FleetLink(boost::asio::io_context& io, const Config& config, std::string version, Counted counted,
+  FleetLink(boost::asio::io_context& io, const Config& config, std::string program, Counted counted,
             PolicyLink::Host host);
   ~FleetLink();
 
@@ -33,8 +33,8 @@
   // Says that this relay leaves; it answers until it is gone.
   void leave();
 
-  PolicyLink& policy() { return policy_; }
-  const PolicyLink& policy() const { return policy_; }
+  PolicyLink& policy() { return *policy_; }
+  const PolicyLink& policy() const { return *policy_; }
 
   // The reply to FLEET: a line each member, then END.
   std::string members() const;
@@ -59,9 +59,9 @@
   Counted counted_;
   udp::socket socket_;
   boost::asio::steady_timer timer_;
-  PolicyLink policy_;
   umberhoist::fleet::Membership view_;
   umberhoist::fleet::Count count_;
+  std::optional<PolicyLink> policy_;  // once the address is this process's
   std::map<std::string, udp::endpoint> addresses_;
   std::map<udp::endpoint, std::string> names_;
   udp::endpoint sender_;
--- a/tests/command_test.cpp
+++ b/tests/command_test.cpp
@@ -156,6 +156,7 @@
   EXPECT_FALSE(held.contains("udp"));
   EXPECT_EQ(held.at("threads"), 1);
   EXPECT_FALSE(std::filesystem::exists(without.state() / "fleet.json"));
+  EXPECT_FALSE(std::filesystem::exists(without.state() / "policy.records"));
   const auto ask = [&](const std::string& call) {
     Socket caller = Socket::connect(second);
     caller.send(call + "\n");
@@ -164,7 +165,9 @@
     return all;
   };
   EXPECT_EQ(ask("FLEET"), "ERR unknown call\n");
+  EXPECT_EQ(ask("POLICY STATUS"), "ERR unknown call\n");
   EXPECT_EQ(ask("METRICS").find("fleet_"), std::string::npos);
+  EXPECT_EQ(ask("METRICS").find("policy_"), std::string::npos);
   without.kill();
   // And with it they are: the check can fail.
   nlohmann::json config = fleet_config();
@@ -175,6 +178,7 @@
   EXPECT_EQ(held_open(with.pid()).at("udp"), 1);
   EXPECT_EQ(held_open(with.pid()).at("threads"), 1);
   EXPECT_TRUE(std::filesystem::exists(with.state() / "fleet.json"));
+  EXPECT_TRUE(std::filesystem::exists(with.state() / "policy.records"));
   EXPECT_NE(ask("FLEET").find("n0 alive"), std::string::npos);
   EXPECT_NE(ask("METRICS").find("fleet_members{state=\"alive\"} 1"), std::string::npos);
   // A second process under the same name ends with one line, and the first goes on.
