--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -8,6 +8,8 @@
 #include <set>
 #include <stdexcept>
 
+#include "../fleet/agreement.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -155,7 +157,14 @@
   const json report = settings.value("telemetry", json::object());
   out.report_fields = report.value("fields", std::vector<std::string>{});
   out.known = parse_list(root.at("known"), out.names);
-  if (root.contains("fleet")) out.fleet = parse_fleet(root["fleet"], out.name, out.settings.may_tell_peers);
+  if (root.contains("fleet")) {
+    out.fleet = parse_fleet(root["fleet"], out.name, out.settings.may_tell_peers);
+    if (const size_t longest = policy_of(out).size(); longest > most_policy(out)) {
+      throw std::invalid_argument("limits.disk_mb leaves the fleet's policy " +
+                                  std::to_string(most_policy(out)) + " bytes, and it has " +
+                                  std::to_string(longest));
+    }
+  }
   return out;
 }
 
@@ -212,6 +221,14 @@
   return root.dump();
 }
 
+size_t policy_disk(const Config& config) { return config.fleet ? config.disk_bytes / 4 : 0; }
+
+size_t most_policy(const Config& config) {
+  using umberhoist::fleet::kFileRest, umberhoist::fleet::kFileTexts;
+  const size_t file = policy_disk(config) / 2;
+  return std::min(umberhoist::fleet::kMostPolicy, (file - std::min(file, kFileRest)) / kFileTexts);
+}
+
 Config with_policy(const Config& config, const std::string& policy) {
   const json wanted = json::parse(policy);
   json root = json::parse(config.text);
--- a/relay/config.h
+++ b/relay/config.h
@@ -66,6 +66,10 @@
 std::string policy_in(const std::string& file);
 // This configuration under another policy. Throws std::exception where it does not hold together.
 Config with_policy(const Config& config, const std::string& policy);
+// Of the disk, what a fleet's records of its policy may take (two files while one is replaced), and how long
+// a policy may be for that; 0 without a fleet.
+size_t policy_disk(const Config& config);
+size_t most_policy(const Config& config);
 // Why `policy` is no change that may be made to that of `config`; empty: it is one.
 std::string policy_fault(const Config& config, const std::string& policy);
 
--- a/relay/upgrade.cpp
+++ b/relay/upgrade.cpp
@@ -30,9 +30,10 @@
 }
 
 size_t Relay::file_limit() const {
-  if (!standing_.predecessor) return part(kFilePart, config_.disk_bytes);
-  if (share_.file == 0) return part(kStartPart, config_.disk_bytes);
-  const size_t both = part(kDiskPart, config_.disk_bytes);
+  const size_t disk = config_.disk_bytes - policy_disk(config_);
+  if (!standing_.predecessor) return part(kFilePart, disk);
+  if (share_.file == 0) return part(kStartPart, disk);
+  const size_t both = part(kDiskPart, disk);
   return (both - std::min(both, share_.file)) / 2;
 }
 
--- a/tests/command_test.cpp
+++ b/tests/command_test.cpp
@@ -193,6 +193,63 @@
   EXPECT_NE(ask("FLEET").find("n0 alive"), std::string::npos);
 }
 
+// One of three that hears no other: what it does is the operators' choice.
+TEST(Fleet, ARelayAloneTakesNothingOnUnlessItIsToldToServe) {
+  for (const char* isolated : {"refuse", "serve"}) {
+    nlohmann::json config = fleet_config();
+    const std::string second = free_address();
+    config["operator"] = second;
+    config["fleet"]["isolated"] = isolated;
+    config["fleet"]["peers"][0]["voter"] = false;  // the voter is never there
+    config["fleet"]["peers"][1]["voter"] = true;
+    config["fleet"]["bind"] = config["fleet"]["peers"][0]["address"] = free_address();
+    Program program(config);
+    program.start();
+    Socket caller = Socket::connect(second);
+    caller.send("STATUS\n");
+    Socket client = program.client();
+    client.send(put_bytes("00000000000000a1", "c=safe,d=60000,dest=7"));
+    if (std::string(isolated) == "serve") {
+      EXPECT_EQ(caller.line(), "OK serving");
+      EXPECT_EQ(client.line(), "+OK");
+    } else {
+      EXPECT_EQ(caller.line(), "ERR fenced: no leader was heard yet");
+      EXPECT_TRUE(client.line().starts_with("-BUSY"));
+    }
+  }
+}
+
+// A file that is no policy to be proposed is turned down whole, with one line.
+TEST(Fleet, APolicyThatDoesNotHoldTogetherIsTurnedDown) {
+  const relay::Config config = relay::parse_config(fleet_config().dump(), "state");
+  const auto said = [&](const std::function<void(nlohmann::json&)>& change) -> std::string {
+    nlohmann::json file = fleet_config();
+    change(file["settings"]);
+    try {
+      const std::string policy = relay::policy_in(file.dump());
+      if (std::string fault = relay::policy_fault(config, policy); !fault.empty()) return fault;
+      (void)relay::with_policy(config, policy);
+      return "taken";
+    } catch (const std::exception& fault) {
+      return fault.what();
+    }
+  };
+  EXPECT_EQ(said([](auto& s) { s["bounds"]["max_attempts"] = 3; }), "taken");
+  EXPECT_EQ(said([](auto& s) { s["bounds"]["max_attempts"] = 0; }),
+            "settings.bounds.max_attempts is not above 0");
+  EXPECT_EQ(said([](auto& s) { s["bounds"]["peers"] = false; }),
+            "fleet is given, but settings.bounds.peers does not allow it");
+  EXPECT_EQ(said([](auto& s) { s["bounds"].erase("max_attempts"); }), "bounds.max_attempts is missing");
+  EXPECT_EQ(said([](auto& s) { s["categories"][0]["name"] = "another"; }),
+            "class " + fleet_config()["settings"]["categories"][0]["name"].get<std::string>() +
+                " is renamed another: add the new one first, and remove the old one later");
+  EXPECT_TRUE(said([](auto& s) {
+                s["categories"][0]["note"] = std::string(70'000, 'x');
+              }).starts_with("limits.disk_mb leaves"));
+  EXPECT_THROW((void)relay::policy_in("{\"bounds\":"), std::exception);
+  EXPECT_THROW((void)relay::policy_in("{\"me\":1}"), std::exception);
+}
+
 // A pipe that nobody reads once stopped a relay in the middle of a write.
 TEST(Log, AReaderThatDoesNotReadNeverBlocksItAndLossIsTold) {
   int ends[2];
--- a/tests/program_test.cpp
+++ b/tests/program_test.cpp
@@ -567,8 +567,19 @@
   Host other;
   Program successor{config};
 
-  Upgrade() {
+  // With a fleet: of this relay alone.
+  explicit Upgrade(bool fleet = false) {
     config["operator"] = free_address();
+    if (fleet) {
+      const std::string at = free_address();
+      config["settings"]["bounds"]["peers"] = true;
+      config["fleet"] = {{"cluster", "test"},
+                         {"bind", at},
+                         {"period_ms", 50},
+                         {"term_ms", 600},
+                         {"peers", {{{"name", config["name"]}, {"address", at}, {"voter", true}}}}};
+      changed = config;
+    }
     discovery.tell(list_json(2, false, {member_json("s-2", other.address(), 8)}));
     program.inherit(listener);
     program.configure(config);
@@ -659,6 +670,34 @@
   EXPECT_EQ(id_of(s.other.next()), "00000000000000a2");
 }
 
+// Predecessor and successor are one relay of the fleet, and hold one version of its policy.
+TEST(Upgrade, TheSuccessorHoldsTheFleetsPolicy) {
+  Upgrade s(true);
+  EXPECT_TRUE(becomes(s.old_address(), "policy_open", "1"));
+  EXPECT_EQ(s.hand_in("00000000000000a1", facts("safe", 8)), "+OK");
+  nlohmann::json policy = s.config;
+  policy["settings"]["bounds"]["max_attempts"] = 3;
+  const std::string path = s.program.state().string() + "/proposed.json";
+  std::ofstream(path) << policy.dump();
+  EXPECT_EQ(asked(s.old_address(), "POLICY PROPOSE c " + path), "OK handed in");
+  EXPECT_TRUE(becomes(s.old_address(), "policy_version", "2"));
+  s.upgrade();
+  EXPECT_TRUE(becomes(s.new_address(), "policy_version", "2"));
+  EXPECT_TRUE(becomes(s.new_address(), "policy_open", "1"));
+  EXPECT_EQ(s.hand_in("00000000000000a2", facts("safe", 8)), "+OK");
+  s.successor.kill();
+  EXPECT_TRUE(becomes(s.old_address(), "policy_open", "1"));
+  EXPECT_TRUE(becomes(s.old_address(), "policy_version", "2"));
+  EXPECT_EQ(s.hand_in("00000000000000a3", facts("safe", 8)), "+OK");
+  // Its own file has the policy of before: SIGHUP does not bring that back.
+  s.program.signal(SIGHUP);
+  EXPECT_TRUE(becomes(s.old_address(), "svc_reloads_failed_total", "1"));
+  // From the folder alone, with its file as it was.
+  s.program.kill();
+  s.program.start();
+  EXPECT_TRUE(becomes(s.old_address(), "policy_version", "2"));
+}
+
 // What waits at the socket is the next process's: the one that ends must not take it in, nor shut the socket.
 TEST(Upgrade, LeavesTheInheritedSocketOpenAtItsEnd) {
   Upgrade s;
