--- a/fleet/membership.cpp
+++ b/fleet/membership.cpp
@@ -124,7 +124,7 @@
   const size_t i = index(u.name);
   if (i == names_->size()) return false;
   if (i == self_) {
-    hear_of_self(now, u);
+    hear_of_self(u);
     return false;
   }
   Record& r = record(i);
@@ -154,14 +154,14 @@
 }
 
 // A word of another about this member that does not suit it is answered with a higher incarnation.
-void Membership::hear_of_self(Time now, const Update& u) {
+void Membership::hear_of_self(const Update& u) {
   if (leaving_ || u.incarnation < incarnation_) return;
   const bool own =
       u.state == State::kAlive && u.incarnation == incarnation_ && u.started_ms == settings_.started_ms;
-  if (!own) refute(now, u.incarnation);
+  if (!own) refute(u.incarnation);
 }
 
-void Membership::refute(Time now, uint64_t above) {
+void Membership::refute(uint64_t above) {
   if (planted_never_refutes) return;
   const size_t i = self_;
   digest_ ^= hash_of(settings_.name, State::kAlive, incarnation_);
@@ -171,7 +171,6 @@
   worse(1);
   rumour(self());
   for (const size_t to : some(kFanOut, self_)) tell_news((*names_)[to]);
-  (void)now;
 }
 
 void Membership::worse(int by) { health_ = std::clamp(health_ + by, 0, kWorstHealth); }
@@ -230,7 +229,7 @@
 }
 
 // Fills what is left of a datagram with the rumours that were told least.
-void Membership::dispatch(Packet packet, const std::string& to, const std::vector<Update>& first) {
+size_t Membership::dispatch(Packet packet, const std::string& to, std::span<const Update> first) {
   packet.cluster = settings_.cluster;
   packet.self = self();
   packet.digest = digest_;
@@ -242,9 +241,8 @@
     packet.updates.push_back(u);
     return true;
   };
-  for (const Update& u : first) {
-    if (!add(u)) break;
-  }
+  size_t taken = 0;
+  while (taken < first.size() && add(first[taken])) ++taken;
   if (packet.kind != Kind::kRecords && packet.kind != Kind::kCompare) {
     const int most = most_sent();
     std::vector<std::tuple<int, uint64_t, size_t>> told;
@@ -265,6 +263,7 @@
     }
   }
   send(to, encode(packet));
+  return taken;
 }
 
 void Membership::tell_news(const std::string& to) {
@@ -319,7 +318,7 @@
   dispatch(std::move(packet), to);
 }
 
-void Membership::answer_compare(Time, const Packet& packet, const std::string& from) {
+void Membership::answer_compare(const Packet& packet, const std::string& from) {
   const std::vector<uint64_t> own = bucket_digests();
   std::vector<Update> updates;
   // From a bucket at random on, as not all may fit.
@@ -338,15 +337,7 @@
     Packet packet;
     packet.kind = Kind::kRecords;
     packet.number = 1;  // answered with what is newer
-    packet.cluster = settings_.cluster;
-    packet.self = self();
-    size_t size = room_of_head(packet);
-    std::vector<Update> part;
-    while (next < updates.size() && size + room_of(updates[next]) <= kMostDatagram) {
-      size += room_of(updates[next]);
-      part.push_back(updates[next++]);
-    }
-    dispatch(std::move(packet), to, part);
+    next += dispatch(std::move(packet), to, std::span(updates).subspan(next));
   }
 }
 
@@ -424,14 +415,14 @@
   arm();
 }
 
-void Membership::leave(Time) {
+void Membership::leave() {
   if (std::exchange(leaving_, true)) return;
   digest_ ^= hash_of(settings_.name, State::kAlive, incarnation_);
   rumour(self());
   for (const size_t to : some(kLeaveTells, self_)) tell_news((*names_)[to]);
 }
 
-void Membership::rename(Time now, std::vector<std::string> names) {
+void Membership::rename(std::vector<std::string> names) {
   std::sort(names.begin(), names.end());
   const auto old_names = names_;
   const auto old = std::move(records_);
@@ -456,7 +447,6 @@
   }
   self_ = index(settings_.name);
   rumour(self());
-  (void)now;
   arm();
 }
 
@@ -531,7 +521,7 @@
     case Kind::kNack:  // it was heard, which is all that it is for
       break;
     case Kind::kCompare:
-      answer_compare(now, packet, from);
+      answer_compare(packet, from);
       break;
     case Kind::kRecords:
       if (!newer_here.empty() && packet.number > 0) {
@@ -592,7 +582,7 @@
   }
 }
 
-void Membership::ask_others(Time) {
+void Membership::ask_others() {
   probe_->asked = true;
   const std::string& target = (*names_)[probe_->target];
   for (const size_t helper : some(kHelpers, probe_->target)) {
@@ -639,7 +629,7 @@
     agreed_ += slept;
     tick_ = now;
   }
-  if (probe_ && !probe_->asked && now >= probe_->direct_until) ask_others(now);
+  if (probe_ && !probe_->asked && now >= probe_->direct_until) ask_others();
   if (probe_ && now >= probe_->until) end_probe(now);
   for (auto it = relayed_.begin(); it != relayed_.end();) {
     Relayed& one = it->second;
--- a/fleet/membership.h
+++ b/fleet/membership.h
@@ -33,6 +33,7 @@
 #include <optional>
 #include <pcg_random.hpp>
 #include <set>
+#include <span>
 
 #include "codec.h"
 #include "machine.h"
@@ -85,9 +86,9 @@
   Time next() const override { return next_; }
 
   // Tells some that it leaves; it still answers until it is gone.
-  void leave(Time now);
+  void leave();
   // Other names from now on; records of those that stay are kept.
-  void rename(Time now, std::vector<std::string> names);
+  void rename(std::vector<std::string> names);
 
   // What has happened since it was last asked for; at most kMostEvents, the oldest are lost.
   static constexpr size_t kMostEvents = 10'000;
@@ -141,22 +142,23 @@
   Update self() const;
   // Takes a word about a member in; answers whether it was news.
   bool hear(Time now, const Update& update);
-  void hear_of_self(Time now, const Update& update);
+  void hear_of_self(const Update& update);
   void set_state(Time now, size_t i, State state, const std::string& by);
   void suspect(Time now, size_t i, const std::string& by);
   void deadline(size_t i, Time at);
   Time suspicion_of(const Record& r) const;  // how long it lasts
   void rumour(const Update& update);
-  void refute(Time now, uint64_t above);
+  void refute(uint64_t above);
   void tell_news(const std::string& to);
   void reply(Kind kind, const std::string& to, uint64_t number, const std::vector<Update>& first = {});
-  void dispatch(Packet packet, const std::string& to, const std::vector<Update>& first = {});
-  void answer_compare(Time now, const Packet& packet, const std::string& from);
+  // Answers how many of `first` had room.
+  size_t dispatch(Packet packet, const std::string& to, std::span<const Update> first = {});
+  void answer_compare(const Packet& packet, const std::string& from);
   void send_records(const std::string& to, const std::vector<Update>& updates);
   void compare_with(const std::string& to);
   void next_probe(Time now);
   void end_probe(Time now);
-  void ask_others(Time now);
+  void ask_others();
   void judge(Time now);
   void arm();
   void worse(int by);
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -98,14 +98,14 @@
   if (names.size() != view_.names().size() ||
       !std::is_permutation(names.begin(), names.end(), view_.names().begin())) {
     count_.configure(static_cast<int>(names.size()));
-    view_.rename(steady_now(), std::move(names));
+    view_.rename(std::move(names));
     counted_(count_.value());
   }
   step();
 }
 
 void FleetLink::leave() {
-  view_.leave(steady_now());
+  view_.leave();
   policy_->leave();
   step();
 }
--- a/tests/fleet/lab_test.cpp
+++ b/tests/fleet/lab_test.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 
 #include "figures.h"
+#include "oracle.h"
 #include "plays.h"
 #include "report.h"
 #include "shrink.h"
@@ -63,6 +64,25 @@
   EXPECT_DOUBLE_EQ(jain({8, 0, 0, 0}), 0.25);
 }
 
+// Which policy relays act under, as their clients can tell.
+TEST(OracleTest, TwoPoliciesAtOnceTooLongOneThatIsBackAndOneThatWasAbortedAreSeen) {
+  const auto broken = [](const std::function<void(Oracles&)>& course) {
+    Oracles o({}, 3);
+    for (int r = 0; r < 3; ++r) o.acted(1, 0.9, r, 0);
+    o.proposed(2, 1);
+    o.acted(3, 2.9, 0, 1);
+    course(o);
+    return o.states().at("one_policy").first;
+  };
+  EXPECT_EQ(broken([](Oracles& o) { o.acted(6, 5.9, 1, 0); }), "");
+  EXPECT_NE(broken([](Oracles& o) { o.acted(6.2, 6.1, 1, 0); }), "");
+  EXPECT_NE(broken([](Oracles& o) { o.acted(4, 3.9, 0, 0); }), "");
+  EXPECT_NE(broken([](Oracles& o) { o.change_ended(5, 2, 1, false); }), "");
+  EXPECT_EQ(broken([](Oracles& o) { o.change_ended(5, 2, 1, true); }), "");
+  EXPECT_NE(broken([](Oracles& o) { o.acts_at_end(5, 1); }), "");
+  EXPECT_EQ(broken([](Oracles& o) { o.acts_at_end(5, 0); }), "");
+}
+
 TEST(CompareTest, TellsADifferenceFromNoise) {
   const auto result = [](double worth) { return nlohmann::json{{"figures", {{"worth", worth}}}}; };
   const nlohmann::json low = {result(0.50), result(0.52), result(0.51)};
--- a/tests/fleet/membership_test.cpp
+++ b/tests/fleet/membership_test.cpp
@@ -149,7 +149,7 @@
 TEST(Membership, LeavingIsToldApartFromDeath) {
   Members m(5);
   m.run(15);
-  m.of(3).leave(m.network.now());
+  m.of(3).leave();
   m.run(1);
   m.network.crash(3);
   m.run(20);
@@ -226,13 +226,13 @@
   Members m(5);
   m.run(15);
   std::vector<std::string> fewer = {name(0), name(1), name(2), name(3)};
-  for (int i = 0; i < 3; ++i) m.of(i).rename(m.network.now(), fewer);  // the others not yet
+  for (int i = 0; i < 3; ++i) m.of(i).rename(fewer);  // the others not yet
   m.run(10);
   EXPECT_EQ(m.of(0).find(name(4)), nullptr);
   EXPECT_GT(m.of(0).dropped().stranger, 0u);
   EXPECT_EQ(m.of(3).live(), 5u);
   fewer.push_back(name(4));
-  for (int i = 0; i < 3; ++i) m.of(i).rename(m.network.now(), fewer);
+  for (int i = 0; i < 3; ++i) m.of(i).rename(fewer);
   m.run(15);
   EXPECT_TRUE(m.agree());
 }
