Dial from the address that peers know; longer operator lines for POLICY only

Cause: a relay with several addresses could dial from one that its peers do not have for it, and be let go; every operator line might be 1,024 bytes, though only POLICY names a file. Change: the socket is bound to fleet.bind's address first; other words keep 128 bytes.

--- a/relay/fleet_wire.cpp
+++ b/relay/fleet_wire.cpp
@@ -38,10 +38,19 @@
   std::list<std::shared_ptr<Link>>::iterator place;
   std::string peer;  // empty: it has not said yet
 
-  void dial(const std::string& to, const tcp::endpoint& at) {
+  // False: it could not be begun, and is gone.
+  bool dial(const std::string& to, const tcp::endpoint& at) {
     peer = to;
     push(frame(fleet::to_cbor({kWire, owner_->settings_.cluster, owner_->name_, to})));
     limit();
+    // From the address under which its peers know it.
+    Error bad;
+    socket_.open(tcp::v4(), bad);
+    if (!bad) socket_.bind({owner_->settings_.bind.address(), 0}, bad);
+    if (bad) {
+      close();
+      return false;
+    }
     socket_.async_connect(at, [self = shared_from_this()](const Error& error) {
       if (self->owner_ == nullptr) return;
       if (error) return self->close();
@@ -49,6 +58,7 @@
       self->connected_ = true;
       self->begin();
     });
+    return true;
   }
 
   void accepted() {
@@ -238,8 +248,7 @@
   last = steady_now();
   auto link = std::make_shared<Link>(*this, tcp::socket(io_));
   link->place = links_.insert(links_.end(), link);
-  link->dial(to, peer->address);
-  return link.get();
+  return link->dial(to, peer->address) ? link.get() : nullptr;
 }
 
 void FleetWire::send(const std::string& to, std::string bytes) {
--- a/relay/operator.cpp
+++ b/relay/operator.cpp
@@ -9,7 +9,8 @@
 using tcp = boost::asio::ip::tcp;
 using Error = boost::system::error_code;
 
-constexpr size_t kMostLine = 1024;
+constexpr size_t kMostLine = 128;
+constexpr size_t kMostPolicyLine = 1024;             // it names a file
 constexpr auto kPatience = std::chrono::seconds(1);  // for a caller's line, and for it to take the reply
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 
@@ -27,9 +28,7 @@
     timer_.async_wait([self = shared_from_this()](const Error& error) {
       if (!error) self->close();
     });
-    boost::asio::async_read_until(
-        socket_, boost::asio::dynamic_buffer(in_, kMostLine), '\n',
-        [self = shared_from_this()](const Error& error, size_t count) { self->read(error, count); });
+    hear(kMostLine);
   }
 
   void close() {
@@ -45,8 +44,17 @@
   }
 
  private:
+  void hear(size_t most) {
+    boost::asio::async_read_until(
+        socket_, boost::asio::dynamic_buffer(in_, most), '\n',
+        [self = shared_from_this()](const Error& error, size_t count) { self->read(error, count); });
+  }
+
   void read(const Error& error, size_t count) {
     if (owner_ == nullptr) return;
+    if (error == boost::asio::error::not_found && in_.size() == kMostLine && in_.starts_with("POLICY ")) {
+      return hear(kMostPolicyLine);
+    }
     if (error == boost::asio::error::not_found) return answer("ERR line is too long\n");
     if (error) return close();
     std::string call = in_.substr(0, count - 1);
