Give C-Raft the entries of one message in one block: what it skips of them was leaked

Cause: fleet/consensus allocated each received entry by itself; C-Raft frees those that it has already only with the batch that all of a message share. Found by the leak check of the simulated plays with lost and repeated messages under sanitizers. Change: entries_of lays all entries of a message in one batch.

--- a/fleet/consensus.cpp
+++ b/fleet/consensus.cpp
@@ -73,15 +73,21 @@
   return out;
 }
 
-// An array as the library takes it over; null where there is none.
+// An array as the library takes it over; null where there is none. All of them lie in one block, their batch:
+// of entries that it has already the library frees nothing but with the batch of the others.
 raft_entry* entries_of(const std::vector<Consensus::Stored::Entry>& from) {
   if (from.empty()) return nullptr;
+  std::string all;
+  for (const auto& e : from) all += e.bytes;
+  auto* const batch = static_cast<char*>(buffer_of(all).base);
   auto* out = static_cast<raft_entry*>(raft_malloc(from.size() * sizeof(raft_entry)));
+  size_t offset = 0;
   for (size_t i = 0; i < from.size(); ++i) {
     out[i].term = from[i].term;
     out[i].type = static_cast<unsigned short>(from[i].type);
-    out[i].buf = buffer_of(from[i].bytes);
-    out[i].batch = out[i].buf.base;
+    out[i].buf = {batch + offset, from[i].bytes.size()};
+    out[i].batch = batch;
+    offset += from[i].bytes.size();
   }
   return out;
 }
