Say once how a founding is written, which address stays, who votes, and how a shut door answers

Cause: read again, the agreement wrote and read a founding in two places each, drew its numbers in four, and looked for a change's end in three; three parts kept their bound address at SIGHUP; the busy line was made by the fence beside the relay's own; the voters' number stood in the lab's network and in its simulation; one test started its fleet by hand; two functions took a time that they did not use and Consensus::last_index had no caller. Change: Founding::record and of, draw, note and ended; Relay::take keeps fleet.bind, as it keeps listen; Relay::busy_line takes the longest wait; FleetWire::find; Scenario::voters; the test's start. Behaviour is the same.

--- a/fleet/agreement.cpp
+++ b/fleet/agreement.cpp
@@ -152,7 +152,7 @@
   } catch (const Bad&) {
     broken_ = "a record does not read";
   }
-  life_ = (uint64_t{chance_()} << 32) | chance_();
+  life_ = draw();
 }
 
 void Agreement::load(std::string_view file) {
@@ -173,9 +173,7 @@
     if (tag == "folder") {
       nonce_ = number_of(at(r, 1));
     } else if (tag == "founding") {
-      Founding f{number_of(at(r, 1)), {}};
-      for (const json& v : at(r, 2)) f.voters.emplace_back(text_of(at(v, 0), kMostName), number_of(at(v, 1)));
-      founding_ = std::move(f);
+      founding_ = Founding::of(r);
     } else if (tag == "voters") {
       told_voters_.clear();
       for (const json& name : at(r, 1)) told_voters_.insert(text_of(name, kMostName));
@@ -203,19 +201,23 @@
   return out;
 }
 
-namespace {
-
-json founding_record(uint64_t id, const std::vector<std::pair<std::string, uint64_t>>& voters) {
+json Agreement::Founding::record() const {
   json list = json::array();
   for (const auto& [name, nonce] : voters) list.push_back({name, nonce});
   return {"founding", id, list};
 }
 
-}  // namespace
+Agreement::Founding Agreement::Founding::of(const json& record) {
+  Founding out{number_of(at(record, 1)), {}};
+  for (const json& v : at(record, 2)) {
+    out.voters.emplace_back(text_of(at(v, 0), kMostName), number_of(at(v, 1)));
+  }
+  return out;
+}
 
 std::string Agreement::whole_file() const {
   std::vector<json> records = {json::array({"format", kFormat}), json::array({"folder", nonce_})};
-  if (founding_) records.push_back(founding_record(founding_->id, founding_->voters));
+  if (founding_) records.push_back(founding_->record());
   if (!told_voters_.empty()) records.push_back(json::array({"voters", told_voters_}));
   if (held_.version > 0) records.push_back({"policy", held_.version, held_.id, held_.text});
   if (!yes_.empty()) records.push_back(json::array({"yes", yes_}));
@@ -248,6 +250,8 @@
 
 uint64_t Agreement::own_id() const { return server_id(settings_.name, nonce_); }
 
+uint64_t Agreement::draw() { return std::max<uint64_t>(1, (uint64_t{chance_()} << 32) | chance_()); }
+
 std::vector<std::string> Agreement::contacts() const {
   std::set<std::string> out(settings_.voters.begin(), settings_.voters.end());
   out.insert(told_voters_.begin(), told_voters_.end());
@@ -266,16 +270,13 @@
     if (kind == "fresh") {
       const uint64_t nonce = number_of(body);
       if (founding_ && !founding_->voters.empty()) {
-        send(from, "founded", founding_record(founding_->id, founding_->voters));
+        send(from, "founded", founding_->record());
       } else if (!founding_) {
         fresh_[from] = {nonce, now};
         found(now);
       }
     } else if (kind == "founded") {
-      Founding f{number_of(at(body, 1)), {}};
-      for (const json& v : at(body, 2))
-        f.voters.emplace_back(text_of(at(v, 0), kMostName), number_of(at(v, 1)));
-      founded(now, std::move(f));
+      founded(now, Founding::of(body));
     } else if (kind == "raft") {
       if (!founding_ || founding_->id != founding) return;
       if (!raft_) start_log(now, {});
@@ -326,7 +327,7 @@
     return;
   }
   if (nonce_ == 0) {
-    nonce_ = std::max<uint64_t>(1, (uint64_t{chance_()} << 32) | chance_());
+    nonce_ = draw();
     compacted();
   } else if (torn_) {
     compacted();
@@ -349,7 +350,7 @@
   s.snapshot_after = 8;
   s.trailing = 2;
   Consensus::Host& host = *this;
-  raft_ = std::make_unique<Consensus>(s, host, std::move(stored), (uint64_t{chance_()} << 32) | chance_());
+  raft_ = std::make_unique<Consensus>(s, host, std::move(stored), draw());
   raft_->start(now);
 }
 
@@ -358,7 +359,7 @@
   std::vector<std::string> voters = settings_.voters;
   std::ranges::sort(voters);
   if (founding_ || voters.empty() || voters.front() != settings_.name) return;
-  Founding f{std::max<uint64_t>(1, (uint64_t{chance_()} << 32) | chance_()), {{settings_.name, nonce_}}};
+  Founding f{draw(), {{settings_.name, nonce_}}};
   for (const std::string& name : voters) {
     if (name == settings_.name) continue;
     const auto heard = fresh_.find(name);
@@ -367,14 +368,14 @@
   }
   founded(now, f);
   for (const auto& [name, nonce] : f.voters) {
-    if (name != settings_.name) send(name, "founded", founding_record(f.id, f.voters));
+    if (name != settings_.name) send(name, "founded", f.record());
   }
 }
 
 void Agreement::founded(Time now, Founding founding) {
   if (founding_) return;
   founding_ = std::move(founding);
-  record(founding_record(founding_->id, founding_->voters));
+  record(founding_->record());
   const auto& voters = founding_->voters;
   if (std::ranges::find(voters, std::pair(settings_.name, nonce_)) != voters.end()) {
     std::vector<Consensus::Server> servers;
@@ -471,9 +472,7 @@
   }
   const bool lost = heard_ < 0 || now - heard_ > 2 * settings_.period || through_ == settings_.name;
   const json body = make_renew(now).packed();
-  if (!lost) {
-    return send(through_, "renew", body);
-  }
+  if (!lost) return send(through_, "renew", body);
   for (const std::string& name : contacts()) send(name, "renew", body);
 }
 
@@ -502,7 +501,7 @@
   }
   if (!founding_) {
     founding_ = Founding{g.founding, {}};
-    record(founding_record(g.founding, {}));
+    record(founding_->record());
   }
   const bool news = leader_ != g.leader || leader_term_ != g.term;
   if (news) word("policy_leader", "the voters' leader is " + g.leader);
@@ -516,7 +515,7 @@
     record(json::array({"voters", told_voters_}));
   }
   const bool steady = clocks_agree(asked, now, g);
-  hear_outcomes(now, g);
+  hear_outcomes(g);
   consider(now, g);
   // A voter's next echo confirms the leader; the others wait for that a little.
   if (g.lease == 0) renew_at_ = std::min(renew_at_, news && raft_ ? now : now + settings_.period / 4);
@@ -585,23 +584,29 @@
   renew_at_ = now;
 }
 
-void Agreement::hear_outcomes(Time now, const Grant& g) {
+void Agreement::note(Outcome outcome) {
+  outcomes_.push_back(std::move(outcome));
+  if (outcomes_.size() > PolicyLog::kMostOutcomes) outcomes_.pop_front();
+}
+
+const Outcome* Agreement::ended(const std::string& id) const {
+  const auto it = std::ranges::find(outcomes_, id, &Outcome::id);
+  return it == outcomes_.end() ? nullptr : &*it;
+}
+
+void Agreement::hear_outcomes(const Grant& g) {
   const uint64_t missed = g.ended > ended_ ? g.ended - ended_ : 0;
   const size_t fresh = std::min<size_t>(missed, g.outcomes.size());
-  for (size_t i = g.outcomes.size() - fresh; i < g.outcomes.size(); ++i) {
-    outcomes_.push_back(g.outcomes[i]);
-    if (outcomes_.size() > PolicyLog::kMostOutcomes) outcomes_.pop_front();
-  }
+  for (size_t i = g.outcomes.size() - fresh; i < g.outcomes.size(); ++i) note(g.outcomes[i]);
   ended_ = std::max(ended_, g.ended);
-  settle_ask(now, g);
+  settle_ask(g);
 }
 
 // The leader knows of it, or it is known that it never will.
-void Agreement::settle_ask(Time, const Grant& g) {
+void Agreement::settle_ask(const Grant& g) {
   if (!ask_) return;
   const auto& id = ask_->id;
-  const bool known = std::ranges::find(outcomes_, id, &Outcome::id) != outcomes_.end();
-  if (known || (g.change && g.change->id == id && ask_->body[0] == "propose") ||
+  if (ended(id) != nullptr || (g.change && g.change->id == id && ask_->body[0] == "propose") ||
       (ask_->body[0] == "replace" && g.voters.contains(ask_->body[2].get<std::string>()))) {
     ask_.reset();
     return;
@@ -610,9 +615,8 @@
   const bool void_now =
       g.term > ask_->told_term || g.stamp > ask_->told_stamp + static_cast<uint64_t>(3 * settings_.term);
   if (!ask_->given_up || !void_now || g.busy == id) return;
-  outcomes_.push_back({id, Outcome::What::kRefused, 0, settings_.name,
-                       "no majority of voters took it up in time; it never takes hold", 0});
-  if (outcomes_.size() > PolicyLog::kMostOutcomes) outcomes_.pop_front();
+  note({id, Outcome::What::kRefused, 0, settings_.name,
+        "no majority of voters took it up in time; it never takes hold", 0});
   ask_.reset();
 }
 
@@ -633,16 +637,16 @@
   if (held_.version == 0) return "no version is held here yet";
   if (std::string why = settings_.check(text); !why.empty()) return why;
   if (change_ && change_->id == id) return "";
-  if (std::ranges::find(outcomes_, id, &Outcome::id) != outcomes_.end()) return "";
+  if (ended(id) != nullptr) return "";
   if (ask_ && ask_->id == id) return "";
   return begin_ask(now, id, {"propose", id, settings_.name, held_.version, text, wall_ms});
 }
 
 std::string Agreement::abort(Time now, const std::string& id) {
   if (id.empty() || id.size() > kMostId) return "an id has 1 to 64 bytes";
-  const auto ended = std::ranges::find(outcomes_, id, &Outcome::id);
-  if (ended != outcomes_.end())
-    return std::string("it has ended: ") + kOutcomeNames[static_cast<int>(ended->what)];
+  if (const Outcome* end = ended(id)) {
+    return std::string("it has ended: ") + kOutcomeNames[static_cast<int>(end->what)];
+  }
   if (ask_ && ask_->id == id) ask_.reset();  // what has gone out already is met by the abort
   return begin_ask(now, id, {"abort", id, settings_.name});
 }
--- a/fleet/agreement.h
+++ b/fleet/agreement.h
@@ -143,6 +143,8 @@
   struct Founding {
     uint64_t id = 0;
     std::vector<std::pair<std::string, uint64_t>> voters;  // with their folders' numbers
+    nlohmann::json record() const;
+    static Founding of(const nlohmann::json& record);  // throws Bad
   };
   struct Ask {  // of this relay's staff, until the leader has it
     nlohmann::json body;
@@ -181,6 +183,7 @@
   void send(const std::string& to, const char* kind, nlohmann::json body);
   void word(const char* event, std::string text) { out_.push_back(Word{event, std::move(text)}); }
   uint64_t own_id() const;
+  uint64_t draw();  // a number that nobody else draws; above 0
   void start_log(Time now, Consensus::Stored stored);
   void found(Time now);
   void founded(Time now, Founding founding);
@@ -193,8 +196,10 @@
   void consider(Time now, const Grant& grant);
   bool take_hold(Time now, const Grant& grant);
   bool clocks_agree(Time sent, Time now, const Grant& grant);
-  void hear_outcomes(Time now, const Grant& grant);
-  void settle_ask(Time now, const Grant& grant);
+  void hear_outcomes(const Grant& grant);
+  void settle_ask(const Grant& grant);
+  void note(Outcome outcome);
+  const Outcome* ended(const std::string& id) const;  // null: not that this relay knows
   std::string begin_ask(Time now, const std::string& id, nlohmann::json body);
   void shut(const std::string& why);
 
--- a/fleet/consensus.h
+++ b/fleet/consensus.h
@@ -97,7 +97,6 @@
   uint64_t term() const { return raft_.current_term; }
   std::string leader() const;  // as far as it is known
   std::vector<Server> servers() const;
-  uint64_t last_index() const { return stored_.first + stored_.entries.size() - 1; }
   const std::string& failed() const { return failed_; }
   std::vector<nlohmann::json> records() const { return stored_.records(); }
   // All that decides what it does next, times counted from now.
--- a/lab/network.cpp
+++ b/lab/network.cpp
@@ -107,7 +107,7 @@
 
 nlohmann::json PairNetwork::section(int relay) const {
   nlohmann::json peers = nlohmann::json::array();
-  const int voters = relays_ >= 5 ? 5 : relays_ >= 3 ? 3 : 1;
+  const int voters = world_.scenario.voters();
   for (int i = 0; i < relays_; ++i) {
     peers.push_back(
         {{"name", "n" + std::to_string(i)}, {"address", text_of(way_to(relay, i))}, {"voter", i < voters}});
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -136,7 +136,8 @@
   std::vector<TenantSpec> tenants;
   std::vector<FaultSpec> faults;
 
-  bool changes_policy() const;  // of the fleet
+  bool changes_policy() const;                                          // of the fleet
+  int voters() const { return relays >= 5 ? 5 : relays >= 3 ? 3 : 1; }  // the first ones
 };
 
 // Reads a file with `set` (KEY=VALUE, a dotted path) laid over it. Throws Unusable.
--- a/lab/sim_agreement.cpp
+++ b/lab/sim_agreement.cpp
@@ -159,9 +159,6 @@
         plan_(draw(scenario, seed)),
         period_(time_of(scenario.sim.period_ms / 1000)),
         term_(6 * period_),
-        voters_(scenario.relays >= 5   ? 5
-                : scenario.relays >= 3 ? 3
-                                       : 1),
         audit_(term_),
         chance_(seed, 31),
         folders_(static_cast<size_t>(scenario.relays)),
@@ -195,8 +192,9 @@
   std::unique_ptr<fleet::Machine> make(int member, uint64_t seed) {
     Folder& folder = folders_[static_cast<size_t>(member)];
     auto guest = std::make_unique<AgreementGuest>(
-        member, agreement_settings(member, scenario_.relays, voters_, period_, term_, folder.build), folder,
-        audit_, clocks_[static_cast<size_t>(member)], seed);
+        member,
+        agreement_settings(member, scenario_.relays, scenario_.voters(), period_, term_, folder.build),
+        folder, audit_, clocks_[static_cast<size_t>(member)], seed);
     guest->on_death = [this, member] {
       ++deaths_;
       network_.at(network_.now(), [this, member] { network_.crash(member); });
@@ -351,7 +349,6 @@
   Plan plan_;
   Time period_;
   Time term_;
-  int voters_;
   PolicyAudit audit_;
   Chance chance_;
   std::vector<Folder> folders_;
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -89,9 +89,7 @@
 
 void FleetLink::retune(const Config& config) {
   policy_->retune(config);
-  const auto bind = settings_.bind;
   settings_ = *config.fleet;
-  settings_.bind = bind;
   learn_addresses();
   std::vector<std::string> names;
   for (const auto& peer : settings_.peers) names.push_back(peer.name);
--- a/relay/fleet_wire.cpp
+++ b/relay/fleet_wire.cpp
@@ -148,7 +148,8 @@
       const std::string name = fleet::text_of(fleet::at(said, 2), 64);
       Error gone;
       const auto from = socket_.remote_endpoint(gone);
-      if (gone || !owner_->knows(name, from.address())) return false;
+      const FleetSettings::Peer* known = owner_->find(name);
+      if (gone || known == nullptr || known->address.address() != from.address()) return false;
       peer = name;
       return true;
     } catch (const fleet::Bad&) {
@@ -220,9 +221,9 @@
   });
 }
 
-bool FleetWire::knows(const std::string& peer, const boost::asio::ip::address& at) const {
-  return std::ranges::any_of(settings_.peers,
-                             [&](const auto& p) { return p.name == peer && p.address.address() == at; });
+const FleetSettings::Peer* FleetWire::find(const std::string& peer) const {
+  const auto it = std::ranges::find(settings_.peers, peer, &FleetSettings::Peer::name);
+  return it == settings_.peers.end() ? nullptr : &*it;
 }
 
 // The newest of a peer's connections is the one that is written to; a third is one too many.
@@ -241,10 +242,9 @@
     if (!(*found)->silent()) return found->get();
     (*found)->close();
   }
-  const auto peer = std::ranges::find(settings_.peers, to, &FleetSettings::Peer::name);
+  const FleetSettings::Peer* peer = find(to);
   Time& last = dialled_[to];
-  if (peer == settings_.peers.end() || (last != 0 && steady_now() - last < settings_.period / 4))
-    return nullptr;
+  if (peer == nullptr || (last != 0 && steady_now() - last < settings_.period / 4)) return nullptr;
   last = steady_now();
   auto link = std::make_shared<Link>(*this, tcp::socket(io_));
   link->place = links_.insert(links_.end(), link);
@@ -263,21 +263,13 @@
 }
 
 void FleetWire::retune(const FleetSettings& settings) {
-  const auto bind = settings_.bind;
   settings_ = settings;
-  settings_.bind = bind;
   std::vector<std::shared_ptr<Link>> gone;
   for (const auto& l : links_) {
-    if (!l->peer.empty() &&
-        std::ranges::find(settings_.peers, l->peer, &FleetSettings::Peer::name) == settings_.peers.end()) {
-      gone.push_back(l);
-    }
+    if (!l->peer.empty() && find(l->peer) == nullptr) gone.push_back(l);
   }
   for (const auto& l : gone) l->close();
-  std::erase_if(dialled_, [&](const auto& entry) {
-    return std::ranges::find(settings_.peers, entry.first, &FleetSettings::Peer::name) ==
-           settings_.peers.end();
-  });
+  std::erase_if(dialled_, [&](const auto& entry) { return find(entry.first) == nullptr; });
 }
 
 }  // namespace firspool::relay
--- a/relay/fleet_wire.h
+++ b/relay/fleet_wire.h
@@ -54,7 +54,7 @@
 
   void accept();
   Link* link_to(const std::string& peer);
-  bool knows(const std::string& peer, const boost::asio::ip::address& at) const;
+  const FleetSettings::Peer* find(const std::string& peer) const;  // null: not configured
   void named(Link& link);
 
   boost::asio::io_context& io_;
--- a/relay/policy_link.cpp
+++ b/relay/policy_link.cpp
@@ -229,17 +229,8 @@
   return one_line(agreement_ ? agreement_->view(lease_now()).closed : ended_);
 }
 
-std::string PolicyLink::busy_line(bool told, Time most) {
-  ++turned_away_;
-  const Time wait = std::min(fleet_.term, most);
-  if (!told || wait < 1000) return "-BUSY";
-  return "-BUSY " + std::to_string(std::uniform_int_distribution<Time>(wait / 2, wait)(random_) / 1000);
-}
-
 void PolicyLink::retune(const Config& config) {
-  const auto bind = fleet_.bind;
   fleet_ = *config.fleet;
-  fleet_.bind = bind;
   wire_.retune(fleet_);
   if (!agreement_) return;
   const Agreement::Settings now = settings();
@@ -259,20 +250,22 @@
 std::string PolicyLink::call(const std::string& rest) {
   std::istringstream in(rest);
   std::string word, id, other;
-  in >> word >> id >> other;
+  in >> word >> id;
+  std::getline(in >> std::ws, other);
   if (word == "STATUS") return status();
   if (word == "HISTORY") return history();
-  if (word == "PROPOSE") return propose(rest);
   if (!agreement_) return "ERR " + ended_ + "\n";
   std::string no;
   if (word == "TEXT") {
     const auto text = agreement_->text_of_version(std::strtoull(id.c_str(), nullptr, 10));
     return text ? "OK\n" + *text + "\nEND\n" : "ERR this relay does not keep version " + one_line(id) + "\n";
   }
-  if (word == "ABORT") {
+  if (word == "PROPOSE") {
+    no = propose(id, other);
+  } else if (word == "ABORT") {
     no = agreement_->abort(lease_now(), id);
   } else if (word == "REPLACE") {
-    no = agreement_->replace(lease_now(), id, other);
+    no = agreement_->replace(lease_now(), id, other.substr(0, other.find(' ')));
   } else {
     return "ERR unknown call\n";
   }
@@ -280,30 +273,22 @@
   return no.empty() ? "OK handed in\n" : "ERR " + one_line(no) + "\n";
 }
 
-std::string PolicyLink::propose(const std::string& rest) {
-  if (!agreement_) return "ERR " + ended_ + "\n";
-  std::istringstream in(rest);
-  std::string word, id, path;
-  in >> word >> id;
-  std::getline(in >> std::ws, path);
-  if (id.empty() || path.empty()) return "ERR POLICY PROPOSE ID PATH\n";
+// Why the file at `path` is not handed in; empty: it is.
+std::string PolicyLink::propose(const std::string& id, const std::string& path) {
+  if (id.empty() || path.empty()) return "POLICY PROPOSE ID PATH";
   std::error_code failed;
   const auto size = std::filesystem::file_size(path, failed);
-  if (failed) return "ERR cannot read " + one_line(path) + "\n";
-  if (size > kMostFile) return "ERR " + one_line(path) + " has more than 1 MiB\n";
-  std::string no, policy;
+  if (failed) return "cannot read " + path;
+  if (size > kMostFile) return path + " has more than 1 MiB";
+  std::string policy;
   try {
     policy = policy_in(slurp(path));
-    no = host_.fault(policy);
+    if (std::string no = host_.fault(policy); !no.empty()) return no;
   } catch (const std::exception& fault) {
-    no = fault.what();
-  }
-  if (no.empty()) {
-    const auto wall = static_cast<uint64_t>(std::max<Time>(0, instant_now().wall / 1000));
-    no = agreement_->propose(lease_now(), id, policy, wall);
-    step();
+    return fault.what();
   }
-  return no.empty() ? "OK handed in\n" : "ERR " + one_line(no) + "\n";
+  const auto wall = static_cast<uint64_t>(std::max<Time>(0, instant_now().wall / 1000));
+  return agreement_->propose(lease_now(), id, policy, wall);
 }
 
 std::string PolicyLink::status() const {
--- a/relay/policy_link.h
+++ b/relay/policy_link.h
@@ -34,9 +34,8 @@
   PolicyLink(boost::asio::io_context& io, const Config& config, std::string program, Host host);
 
   bool open() const;
-  // For a client that is turned away, with a wait where `told` allows one of at most `most`.
-  std::string busy_line(bool told, Time most);
-  std::string closed() const;  // why it is not open; empty: it is
+  void turned_away() { ++turned_away_; }  // a client, as it is not open
+  std::string closed() const;             // why it is not open; empty: it is
 
   void retune(const Config& config);
   void leave();
@@ -73,7 +72,7 @@
   umberhoist::fleet::Agreement::Settings settings() const;
   std::string status() const;
   std::string history() const;
-  std::string propose(const std::string& rest);
+  std::string propose(const std::string& id, const std::string& path);
 
   boost::asio::io_context& io_;
   FleetSettings fleet_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -186,7 +186,7 @@
   clients_.emplace(
       io_, config_.listen, config_.inherited, Clients::Limits{client_limit(), config_.memory_bytes / 4},
       [this](Handed handed, Clients::Answer answer) { put(std::move(handed), std::move(answer)); },
-      [this] { return busy_line(); });
+      [this] { return busy_line(Clients::kMostRequest); });
   if (config_.inherited) await_successor();
   listening_(clients_->address());
 }
@@ -407,6 +407,7 @@
   next.inherited = config_.inherited;
   next.operator_address = config_.operator_address;
   if (!config_.fleet) next.fleet.reset();  // begins with the next start
+  if (next.fleet) next.fleet->bind = config_.fleet->bind;
   config_ = std::move(next);
   custody_.retune(config_.settings);
   if (fleet_) fleet_->retune(config_);
@@ -424,7 +425,8 @@
 
 std::string Relay::fenced_line() {
   if (!fleet_) return "-BUSY";
-  return fleet_->policy().busy_line(config_.settings.retry_after_heard, config_.settings.max_retry_after);
+  fleet_->policy().turned_away();
+  return busy_line(config_.fleet->term);
 }
 
 // The list as it is known, read with the names of the settings as they are now.
@@ -464,12 +466,12 @@
   });
 }
 
-// To a client whose request is not read for want of memory: there is room again when peers that do not go on
-// with theirs are closed.
-std::string Relay::busy_line() {
+// To a client whose request is not read for want of memory (there is room again when peers that do not go on
+// with theirs are closed), or that is turned away at a shut door.
+std::string Relay::busy_line(Time within) {
   const Settings& settings = config_.settings;
-  if (!settings.retry_after_heard || settings.max_retry_after < kMs) return "-BUSY";
-  const Time most = std::min(settings.max_retry_after, Clients::kMostRequest);
+  const Time most = std::min(settings.max_retry_after, within);
+  if (!settings.retry_after_heard || most < kMs) return "-BUSY";
   return "-BUSY " + std::to_string(std::uniform_int_distribution<Time>(most / 2, most)(random_) / kMs);
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -68,7 +68,7 @@
   void step();
   void answer_pending(const std::vector<Action>& actions);
   void carry_out(const Action& action);
-  std::string busy_line();
+  std::string busy_line(Time within);  // with a wait of at most that, where settings allow one
   HostList renamed_list() const;
   size_t client_limit() const;
   void arm();
--- a/tests/fleet/agreement_test.cpp
+++ b/tests/fleet/agreement_test.cpp
@@ -65,18 +65,20 @@
   static constexpr Time kPeriod = 500 * kMs;
   static constexpr Time kTerm = 3 * kSecond;
 
-  void begin(int relays, int voters = 3) {
+  void start(int relays) {
     folders.resize(static_cast<size_t>(relays));
     clocks.resize(static_cast<size_t>(relays));
-    net = std::make_unique<SimNetwork>(relays, 1, [this, relays, voters](int i, uint64_t seed, int) {
+    net = std::make_unique<SimNetwork>(relays, 1, [this, relays](int i, uint64_t seed, int) {
       auto& folder = folders[static_cast<size_t>(i)];
-      auto s = agreement_settings(i, relays, voters, kPeriod, kTerm, folder.build);
-      if (!own.empty()) s.own = own;
+      auto s = agreement_settings(i, relays, 3, kPeriod, kTerm, folder.build);
       return std::make_unique<AgreementGuest>(i, std::move(s), folder, audit, clocks[static_cast<size_t>(i)],
                                               seed);
     });
     for (int i = 0; i < relays; ++i) net->start(i);
-    net->run(8 * kSecond);
+  }
+  void begin(int relays) {
+    start(relays);
+    run(8 * kSecond);
     ASSERT_TRUE(all_open(1));
   }
   void TearDown() override { EXPECT_EQ(audit.broken(), ""); }
@@ -127,7 +129,6 @@
     return false;
   }
 
-  std::string own;
   PolicyAudit audit{kTerm};
   std::vector<AgreementGuest::Folder> folders;
   std::vector<AgreementGuest::Clock> clocks;
@@ -309,18 +310,7 @@
 TEST_F(AgreementTest, AClockPastTheBoundIsDetectedAndItsRelayStaysShut) {
   clocks.resize(4);
   clocks[3] = {kSecond, 0.95};  // its leases would last longer than the leader counts
-  folders.resize(4);
-  net = nullptr;
-  own = "need=1 file";
-  audit = PolicyAudit(kTerm);
-  folders.resize(4);
-  clocks.resize(4);
-  net = std::make_unique<SimNetwork>(4, 1, [this](int i, uint64_t seed, int) {
-    return std::make_unique<AgreementGuest>(i, agreement_settings(i, 4, 3, kPeriod, kTerm, 1),
-                                            folders[static_cast<size_t>(i)], audit,
-                                            clocks[static_cast<size_t>(i)], seed);
-  });
-  for (int i = 0; i < 4; ++i) net->start(i);
+  start(4);
   run(20 * kSecond);
   EXPECT_EQ(view(3).closed, "its clock and the leader's differ by more than 1 in 500");
   EXPECT_TRUE(audit.open(0, net->now()));
