Split the configuration's fleet section and policy from its reading

The fleet section is read in relay/fleet_settings, what the relays share of the settings is in relay/config_policy; nothing is decided differently.

--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -5,10 +5,9 @@
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <stdexcept>
 
-#include "../fleet/agreement.h"
+#include "config_policy.h"
 
 namespace firspool::relay {
 namespace {
@@ -33,17 +32,6 @@
   }
 }
 
-std::string missing_key(const json& old, const json& next, const std::string& path) {
-  if (!old.is_object()) return "";
-  if (!next.is_object()) return path;
-  for (const auto& [key, value] : old.items()) {
-    const std::string at = path.empty() ? key : path + "." + key;
-    if (!next.contains(key)) return at;
-    if (const std::string below = missing_key(value, next[key], at); !below.empty()) return below;
-  }
-  return "";
-}
-
 // What the module's own reading lets pass: text for a number, and a class that has no name.
 void check_classes(const json& settings) {
   const auto above_zero = [](const json& value, const std::string& name) {
@@ -56,72 +44,6 @@
   }
 }
 
-[[noreturn]] void bad_fleet(const std::string& key, const std::string& why) {
-  throw std::invalid_argument("fleet." + key + " " + why);
-}
-
-Time fleet_time(const json& from, const char* key) {
-  const json value = from.value(key, json());
-  if (!value.is_number() || !(value.get<double>() > 0 && value.get<double>() <= 600'000)) {
-    bad_fleet(key, "is not a time above 0 in milliseconds");
-  }
-  return static_cast<Time>(value.get<double>() * 1000);
-}
-
-std::string fleet_text(const json& from, const char* key, size_t most = 64) {
-  const json value = from.value(key, json());
-  if (!value.is_string() || value.get<std::string>().empty() || value.get<std::string>().size() > most) {
-    bad_fleet(key, "is not a text of 1 to " + std::to_string(most) + " bytes");
-  }
-  return value.get<std::string>();
-}
-
-tcp::endpoint fleet_address(const json& from, const char* key, const std::string& at) {
-  try {
-    return parse_address(fleet_text(from, key));
-  } catch (const std::exception&) {
-    bad_fleet(at, "is no address");
-  }
-}
-
-FleetSettings parse_fleet(const json& from, const std::string& name, bool allowed) {
-  if (!from.is_object()) throw std::invalid_argument("fleet is not an object");
-  if (!allowed) throw std::invalid_argument("fleet is given, but settings.bounds.peers does not allow it");
-  FleetSettings out;
-  out.cluster = fleet_text(from, "cluster");
-  out.bind = fleet_address(from, "bind", "bind");
-  out.period = fleet_time(from, "period_ms");
-  out.term = fleet_time(from, "term_ms");
-  if (out.term < 4 * out.period) bad_fleet("term_ms", "is under four periods");
-  const std::string isolated = from.value("isolated", "refuse");
-  if (isolated != "refuse" && isolated != "serve") bad_fleet("isolated", "is neither refuse nor serve");
-  out.isolated_serves = isolated == "serve";
-  const std::string count = from.value("count", "settings");
-  if (count != "settings" && count != "view") bad_fleet("count", "is neither settings nor view");
-  out.count_view = count == "view";
-  if (!from.contains("peers") || !from["peers"].is_array()) bad_fleet("peers", "is not a list");
-  size_t own = 0, voters = 0;
-  std::set<std::string> names;
-  std::set<tcp::endpoint> addresses;
-  for (const json& item : from["peers"]) {
-    const std::string at = "peers." + std::to_string(out.peers.size());
-    if (!item.is_object()) bad_fleet(at, "is not an object");
-    FleetSettings::Peer peer;
-    peer.name = item.value("name", "");
-    if (peer.name.empty() || peer.name.size() > 64) bad_fleet(at + ".name", "is not a text of 1 to 64 bytes");
-    peer.address = fleet_address(item, "address", at + ".address");
-    peer.voter = item.value("voter", false);
-    if (!names.insert(peer.name).second) bad_fleet(at + ".name", "is there twice");
-    if (!addresses.insert(peer.address).second) bad_fleet(at + ".address", "is there twice");
-    own += peer.name == name ? 1 : 0;
-    voters += peer.voter ? 1 : 0;
-    out.peers.push_back(std::move(peer));
-  }
-  if (own != 1) bad_fleet("peers", "does not name " + name);
-  if (voters % 2 == 0) bad_fleet("peers", "has no odd number of voters");
-  return out;
-}
-
 }  // namespace
 
 std::string flatten(const json& settings) {
@@ -168,8 +90,19 @@
   return out;
 }
 
+std::string missing_key(const json& old, const json& next, const std::string& path) {
+  if (!old.is_object()) return "";
+  if (!next.is_object()) return path;
+  for (const auto& [key, value] : old.items()) {
+    const std::string at = path.empty() ? key : path + "." + key;
+    if (!next.contains(key)) return at;
+    if (const std::string below = missing_key(value, next[key], at); !below.empty()) return below;
+  }
+  return "";
+}
+
 std::string missing_key(const Config& old, const Config& next) {
-  return missing_key(json::parse(old.text), json::parse(next.text), "");
+  return missing_key(json::parse(old.text), json::parse(next.text));
 }
 
 Config load_config(const std::string& path, const std::string& state) {
@@ -190,87 +123,6 @@
   return out;
 }
 
-namespace {
-
-constexpr const char* kPolicyKeys[] = {"bounds",           "categories", "obligations",
-                                       "over_share_worth", "prices",     "realms"};
-
-json policy_part(const json& settings) {
-  json out = json::object();
-  for (const char* key : kPolicyKeys) {
-    if (settings.contains(key)) out[key] = settings[key];
-  }
-  return out;
-}
-
-}  // namespace
-
-std::string policy_of(const Config& config) {
-  return policy_part(json::parse(config.text).at("settings")).dump();
-}
-
-std::string policy_in(const std::string& file) {
-  const json root = json::parse(file);
-  if (!root.is_object()) throw std::invalid_argument("the policy is not an object");
-  if (root.contains("settings")) return policy_part(root["settings"]).dump();
-  for (const auto& [key, value] : root.items()) {
-    if (std::ranges::find(kPolicyKeys, key) == std::end(kPolicyKeys)) {
-      throw std::invalid_argument(key + " is no part of the fleet's policy");
-    }
-  }
-  return root.dump();
-}
-
-size_t policy_disk(const Config& config) { return config.fleet ? config.disk_bytes / 4 : 0; }
-
-size_t most_policy(const Config& config) {
-  using umberhoist::fleet::kFileRest, umberhoist::fleet::kFileTexts;
-  const size_t file = policy_disk(config) / 2;
-  return std::min(umberhoist::fleet::kMostPolicy, (file - std::min(file, kFileRest)) / kFileTexts);
-}
-
-Config with_policy(const Config& config, const std::string& policy) {
-  const json wanted = json::parse(policy);
-  json root = json::parse(config.text);
-  json& settings = root.at("settings");
-  for (const char* key : kPolicyKeys) {
-    settings.erase(key);
-    if (wanted.contains(key)) settings[key] = wanted[key];
-  }
-  Config out = parse_config(root.dump(), config.state);
-  out.path = config.path;
-  out.listen = config.listen;
-  out.operator_address = config.operator_address;
-  out.inherited = config.inherited;
-  return out;
-}
-
-std::string policy_fault(const Config& config, const std::string& policy) {
-  const json old = json::parse(policy_of(config)), next = json::parse(policy);
-  if (const std::string key = missing_key(old, next, ""); !key.empty()) return key + " is missing";
-  // A class that goes while one like it comes was renamed: clients that name the old one would be turned
-  // away.
-  const json none = json::array();
-  const auto named = [](const json& classes, const std::string& name) {
-    return std::ranges::any_of(classes, [&](const json& c) { return c.value("name", "") == name; });
-  };
-  const json& before = old.contains("categories") ? old["categories"] : none;
-  const json& after = next.contains("categories") ? next["categories"] : none;
-  for (const json& gone : before) {
-    if (named(after, gone.value("name", ""))) continue;
-    for (json come : after) {
-      const std::string name = come.value("name", "");
-      if (named(before, name)) continue;
-      come["name"] = gone["name"];
-      if (come == gone) {
-        return "class " + gone.value("name", "") + " is renamed " + name +
-               ": add the new one first, and remove the old one later";
-      }
-    }
-  }
-  return "";
-}
-
 std::string describe(const Config& config) {
   const Settings& s = config.settings;
   const auto seconds = [](Time t) { return json(static_cast<double>(t) / 1e6).dump() + " s"; };
--- /dev/null
+++ b/relay/fleet_settings.h
@@ -0,0 +1,34 @@
+// Relays that talk to each other: the configuration's `fleet` section. docs/fleet-view.md.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "firspool/policy.h"
+
+namespace firspool::relay {
+
+using tcp = boost::asio::ip::tcp;
+
+struct FleetSettings {
+  struct Peer {
+    std::string name;
+    tcp::endpoint address;
+    bool voter = false;
+  };
+  std::string cluster;
+  tcp::endpoint bind;       // UDP, and TCP where relays agree
+  std::vector<Peer> peers;  // all relays, this one too
+  Time period = 0;
+  Time term = 0;                 // that a right granted by others lasts
+  bool isolated_serves = false;  // a relay that hears nobody goes on taking messages on
+  bool count_view = false;       // relays are counted as the view shows them, not as the settings say
+};
+
+// `name` is this relay's, `allowed` whether the settings let relays talk at all. Throws std::invalid_argument
+// with one line that says which key is missing or unreadable.
+FleetSettings parse_fleet(const nlohmann::json& from, const std::string& name, bool allowed);
+
+}  // namespace firspool::relay
--- a/relay/policy_link.cpp
+++ b/relay/policy_link.cpp
@@ -11,6 +11,7 @@
 #include <sstream>
 
 #include "budget.h"
+#include "config_policy.h"
 #include "log.h"
 
 namespace firspool::relay {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include "config_policy.h"
 #include "log.h"
 
 namespace firspool::relay {
--- a/relay/upgrade.cpp
+++ b/relay/upgrade.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "config_policy.h"
 #include "log.h"
 #include "relay.h"
 
--- a/tests/command_test.cpp
+++ b/tests/command_test.cpp
@@ -8,7 +8,7 @@
 #include <set>
 #include <sstream>
 
-#include "config.h"
+#include "config_policy.h"
 #include "log.h"
 #include "peers.h"
 
