--- a/relay/budget.cpp
+++ b/relay/budget.cpp
@@ -1,5 +1,7 @@
 #include "budget.h"
 
+#include <time.h>
+
 #include <charconv>
 #include <chrono>
 #include <cstdlib>
@@ -37,6 +39,12 @@
 
 }  // namespace
 
+Time lease_now() {
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return static_cast<Time>(now.tv_sec) * 1'000'000 + now.tv_nsec / 1000;
+}
+
 Time steady_now() { return read<std::chrono::steady_clock>(); }
 
 Instant instant_now() {
--- a/relay/budget.h
+++ b/relay/budget.h
@@ -22,6 +22,7 @@
 
 Instant instant_now();
 Time steady_now();  // of the same clock, for the module and time-outs
+Time lease_now();   // goes on while the machine is suspended, unlike the steady clock
 
 // Where an instant that was written down lies on the steady clock of `now`. After another boot the wall
 // clocks tell how long ago it was; it is never in the future.
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -3,50 +3,17 @@
 
 #include <filesystem>
 #include <map>
-#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
-#include "message.h"
+#include "journal_records.h"
+#include "place.h"
 
 namespace firspool::relay {
 
-struct Recovered {
-  Handed message;  // its budget and all times here are on this process's steady clock
-  int attempts = 0;
-  std::map<int, std::pair<Time, int>> unsettled;  // attempts that may have run: when sent, to which zone
-  std::optional<Notice> owed;
-};
-
-// The right to one of the two journals in the folder. It rests on a file lock, which the kernel releases when
-// the process that holds it ends, however it ends.
-class Place {
- public:
-  static constexpr int kPlaces = 2;  // a process and its successor
-
-  // Nothing: another process has it. Throws std::runtime_error if the folder cannot be used.
-  static std::optional<Place> take(const std::filesystem::path& folder, int number);
-  Place(Place&& other) noexcept;
-  Place& operator=(Place&& other) noexcept;
-  ~Place();
-
-  int number() const { return number_; }
-  std::filesystem::path journal() const;
-  // What another process left here: read once, then removed.
-  std::string read() const;
-  void remove() const;
-
- private:
-  Place(std::filesystem::path folder, int number, int lock);
-
-  std::filesystem::path folder_;
-  int number_;
-  int lock_;
-};
-
 class Journal {
  public:
   // Reads what is there, cuts a torn tail off and goes on behind it. Throws std::runtime_error if the file
@@ -95,7 +62,7 @@
   void keep_fact(const std::string& name, const std::string& value);
   void restate(const Recovered& entry);
   bool fits(size_t bytes) const;
-  bool append(const std::string& id, const std::string& payload);
+  bool append(const std::string& id, const std::string& record);
   bool write(std::string_view bytes);
   bool compact();
 
--- /dev/null
+++ b/relay/journal_records.cpp
@@ -0,0 +1,193 @@
+#include "journal_records.h"
+
+#include <boost/crc.hpp>
+#include <cstring>
+#include <memory>
+
+#include "record_fields.h"
+
+namespace firspool::relay {
+namespace {
+
+constexpr size_t kHeader = 8;  // length and checksum
+
+enum Kind : char {
+  kAccepted = 'A',
+  kAttempt = 'T',
+  kNeverRan = 'N',
+  kOwed = 'O',
+  kDone = 'D',
+  kFact = 'F',
+  kRestated = 'R',
+};
+
+uint32_t checksum(std::string_view bytes) {
+  boost::crc_32_type crc;
+  crc.process_bytes(bytes.data(), bytes.size());
+  return crc.checksum();
+}
+
+std::string framed(std::string_view payload) {
+  const uint32_t head[2] = {static_cast<uint32_t>(payload.size()), checksum(payload)};
+  char raw[kHeader];
+  std::memcpy(raw, head, kHeader);
+  return std::string(raw, kHeader).append(payload);
+}
+
+// The class may be gone from the settings by the time that the record is read.
+void write_rules(RecordWriter& out, const MessageRules& rules) {
+  out.number(rules.max_attempts).number(static_cast<int64_t>(rules.effect));
+  out.number(static_cast<int64_t>(rules.key_scope)).number(rules.key_window).number(rules.in_order);
+  out.number(rules.target).number(rules.give_up).real(rules.worth).real(rules.late_worth);
+}
+
+MessageRules read_rules(RecordReader& in, const std::string& name) {
+  MessageRules out;
+  out.name = name;
+  out.max_attempts = static_cast<int>(in.number());
+  out.effect = static_cast<Effect>(in.number());
+  out.key_scope = static_cast<KeyScope>(in.number());
+  out.key_window = in.number();
+  out.in_order = in.number() != 0;
+  out.target = in.number();
+  out.give_up = in.number();
+  out.worth = in.real();
+  out.late_worth = in.real();
+  return out;
+}
+
+}  // namespace
+
+std::string record::accepted(const Handed& m, const Instant& now) {
+  const Time due = m.budget.due();
+  RecordWriter out(kAccepted, m.id);
+  out.text(m.message_class).text(m.key).number(m.destination).number(now.wall + due - now.steady);
+  out.text(m.body).text(m.tenant);
+  write_rules(out, *m.rules);
+  return framed(out.instant(now).number(due).payload());
+}
+
+std::string record::attempt(const std::string& id, int number, int zone, const Instant& now) {
+  return framed(
+      RecordWriter(kAttempt, id).number(number).number(now.wall).number(zone).instant(now).payload());
+}
+
+std::string record::never_ran(const std::string& id, int number) {
+  return framed(RecordWriter(kNeverRan, id).number(number).payload());
+}
+
+std::string record::owed(const Notice& notice) {
+  return framed(RecordWriter(kOwed, notice.id).number(notice.returned).number(notice.after).payload());
+}
+
+std::string record::done(const std::string& id) { return framed(RecordWriter(kDone, id).payload()); }
+
+std::string record::fact(const std::string& name, const std::string& value) {
+  return framed(RecordWriter(kFact, name).text(value).payload());
+}
+
+std::string record::restated(const std::string& id, const Instant& now, Time due) {
+  return framed(RecordWriter(kRestated, id).instant(now).number(due).payload());
+}
+
+JournalContent::JournalContent(std::string_view bytes, const Instant& now) {
+  while (bytes.size() - whole >= kHeader) {
+    uint32_t head[2];
+    std::memcpy(head, bytes.data() + whole, kHeader);
+    if (head[0] > bytes.size() - whole - kHeader) break;
+    const auto payload = bytes.substr(whole + kHeader, head[0]);
+    if (payload.empty() || checksum(payload) != head[1]) break;
+    apply(payload);
+    whole += kHeader + head[0];
+  }
+  for (auto& [place, entry] : messages) tell_times(entry, now);
+}
+
+void JournalContent::apply(std::string_view record) {
+  RecordReader in(record);
+  const char kind = in.kind();
+  const std::string id = in.text();
+  if (kind == kFact) {
+    facts[id] = in.text();
+    if (facts[id].empty()) facts.erase(id);
+    return;
+  }
+  if (kind == kAccepted) {
+    Recovered entry;
+    entry.message.id = id;
+    entry.message.message_class = in.text();
+    entry.message.key = in.text();
+    entry.message.destination = static_cast<int>(in.number());
+    const Time due_by_wall = in.number();
+    entry.message.body = in.text();
+    if (in.more()) entry.message.tenant = in.text();  // records of earlier versions end here
+    if (in.more()) {                                  // or here
+      entry.message.rules = std::make_shared<const MessageRules>(read_rules(in, entry.message.message_class));
+    }
+    places_[id] = ++order_;
+    Entry& fresh = messages[order_];
+    if (in.more()) {  // or here
+      fresh.told = in.instant();
+      fresh.due = in.number();
+      latest(fresh.told);
+    } else {
+      const Time life = entry.message.rules ? entry.message.rules->give_up : Budget::kMost;
+      fresh.told.wall = due_by_wall - life;
+      fresh.due = life;
+    }
+    fresh.what = std::move(entry);
+  }
+  const auto place = places_.find(id);
+  if (place == places_.end()) return;
+  Entry& whole_entry = messages.at(place->second);
+  Recovered& entry = whole_entry.what;
+  if (kind == kAttempt) {
+    const int number = static_cast<int>(in.number());
+    Instant sent;
+    sent.wall = in.number();
+    entry.attempts = std::max(entry.attempts, number + 1);
+    entry.unsettled[number].second = static_cast<int>(in.number());
+    if (in.more()) {
+      sent = in.instant();
+      latest(sent);
+    }
+    whole_entry.sent[number] = sent;
+  } else if (kind == kRestated) {
+    whole_entry.told = in.instant();
+    whole_entry.due = in.number();
+    latest(whole_entry.told);
+  } else if (kind == kNeverRan) {
+    entry.unsettled.erase(static_cast<int>(in.number()));
+  } else if (kind == kOwed) {
+    const bool returned = in.number() != 0;
+    entry.owed = Notice{id, returned, in.number()};
+  } else if (kind == kDone) {
+    messages.erase(place->second);
+    places_.erase(place);
+    return;
+  }
+  whole_entry.records += framed(record);
+}
+
+// The newest instant that was written in a boot: at least that much of each budget of it was gone by then.
+void JournalContent::latest(const Instant& seen) {
+  Instant& newest = latest_[seen.boot];
+  if (newest.steady <= seen.steady) newest = seen;
+}
+
+Time JournalContent::told_here(const Instant& then, const Instant& now) const {
+  const auto newest = latest_.find(then.boot);
+  if (then.boot == 0 || then.boot == now.boot || newest == latest_.end()) return here(then, now);
+  return here(newest->second, now) - (newest->second.steady - then.steady);
+}
+
+void JournalContent::tell_times(Entry& entry, const Instant& now) const {
+  const Time told = told_here(entry.told, now);
+  entry.what.message.budget = Budget::until(told + entry.due - entry.told.steady);
+  for (const auto& [number, sent] : entry.sent) {
+    const auto unsettled = entry.what.unsettled.find(number);
+    if (unsettled != entry.what.unsettled.end()) unsettled->second.first = told_here(sent, now);
+  }
+}
+
+}  // namespace firspool::relay
--- /dev/null
+++ b/relay/journal_records.h
@@ -0,0 +1,65 @@
+// The journal's records: how each is written, and what those of a file come to. A record is framed by its
+// length and checksum; one that is torn or does not match ends what is read.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "message.h"
+
+namespace firspool::relay {
+
+struct Recovered {
+  Handed message;  // its budget and all times here are on this process's steady clock
+  int attempts = 0;
+  std::map<int, std::pair<Time, int>> unsettled;  // attempts that may have run: when sent, to which zone
+  std::optional<Notice> owed;
+};
+
+// Each a whole record, to be appended as it is.
+namespace record {
+
+std::string accepted(const Handed& message, const Instant& now);  // its rules are not null
+std::string attempt(const std::string& id, int number, int zone, const Instant& now);
+std::string never_ran(const std::string& id, int number);
+std::string owed(const Notice& notice);
+std::string done(const std::string& id);
+std::string fact(const std::string& name, const std::string& value);
+// A budget taken over from another boot, on the clock of this one; earlier versions skip it.
+std::string restated(const std::string& id, const Instant& now, Time due);
+
+}  // namespace record
+
+// What a file's records come to: the messages that are not over, with their records as written, and facts.
+class JournalContent {
+ public:
+  struct Entry {
+    Recovered what;
+    std::string records;
+    Instant told;  // when its budget was written, and its end on that clock
+    Time due = 0;
+    std::map<int, Instant> sent;
+  };
+  size_t whole = 0;  // bytes of whole records; a process killed while it wrote leaves a torn one at the end
+  std::map<uint64_t, Entry> messages;  // in the order in which they came
+  std::map<std::string, std::string> facts;
+
+  // Throws std::runtime_error where a whole record is none of the journal's.
+  JournalContent(std::string_view bytes, const Instant& now);
+
+ private:
+  void apply(std::string_view record);
+  void latest(const Instant& seen);
+  Time told_here(const Instant& then, const Instant& now) const;
+  void tell_times(Entry& entry, const Instant& now) const;
+
+  uint64_t order_ = 0;
+  std::map<std::string, uint64_t> places_;
+  std::map<uint64_t, Instant> latest_;  // by boot: bounded by the boots whose messages are still open
+};
+
+}  // namespace firspool::relay
--- a/relay/log.cpp
+++ b/relay/log.cpp
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 
 namespace firspool::relay {
@@ -80,6 +81,12 @@
   }
 }
 
+std::string one_line(std::string text) {
+  std::ranges::replace_if(
+      text, [](unsigned char c) { return c < 0x20; }, ' ');
+  return text;
+}
+
 void set_up_log(LogFormat format, LogLevel level) {
   format_now = format;
   logger().set_level(spd(level));
--- a/relay/log.h
+++ b/relay/log.h
@@ -31,6 +31,9 @@
   log_event(LogLevel::kInfo, name, text, fields);
 }
 
+// On one line, whatever a name or reason holds.
+std::string one_line(std::string text);
+
 // What a sink keeps back: for tests, on any descriptor.
 class BoundedWriter {
  public:
--- a/relay/policy_link.h
+++ b/relay/policy_link.h
@@ -19,6 +19,7 @@
 #include "../fleet/agreement.h"
 #include "config.h"
 #include "fleet_wire.h"
+#include "lasting_file.h"
 
 namespace firspool::relay {
 
@@ -47,24 +48,6 @@
   static std::optional<std::string> stored(const Config& config);
 
  private:
-  // The file, opened to be appended to.
-  class File {
-   public:
-    explicit File(std::string path) : path_(std::move(path)) {}
-    ~File();
-    File(const File&) = delete;
-    std::string read() const;
-    bool append(const std::string& bytes);  // all of it, or none is left there
-    bool replace(const std::string& bytes);
-    size_t size() const { return size_; }
-
-   private:
-    bool open();
-    std::string path_;
-    int fd_ = -1;
-    size_t size_ = 0;
-  };
-
   void begin();
   void step();
   void arm();
@@ -80,7 +63,7 @@
   std::string program_;
   std::string own_;  // the policy of this relay's configuration
   Host host_;
-  File file_;
+  LastingFile file_;
   FleetWire wire_;
   boost::asio::steady_timer timer_;
   std::mt19937_64 random_;
