Split clients: MSG.PUT's reading, one client's session, and the commands by their word

A command is found by its first word among those that were added (Clients::add), MSG.PUT being one of them, so that others can come beside it.

--- a/relay/clients.h
+++ b/relay/clients.h
@@ -5,22 +5,25 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "directory.h"
 #include "message.h"
 
 namespace firspool::relay {
 
-// Reads the words of MSG.PUT, the last byte of which came at `read`; throws std::invalid_argument with a line
-// for the client.
-Handed parse_put(const std::vector<std::string>& words, Time read);
-
 class Clients {
  public:
   using Answer = std::function<void(std::string line)>;  // called once, with a RESP line without its end
   using Put = std::function<void(Handed message, Answer answer)>;
+  using Words = std::vector<std::string>;
+  // `words` begins with the command, and its last byte came at `read`. What it throws as
+  // std::invalid_argument is the client's error line.
+  using Command = std::function<void(const Words& words, Time read, Answer answer)>;
   using Busy = std::function<std::string()>;  // the line for a client whose request is not read
 
   struct Limits {
@@ -35,6 +38,9 @@
           Limits limits, Put put, Busy busy);
   ~Clients();
 
+  // More commands beside PING and MSG.PUT; `word` is in capitals, and clients may write it as they like.
+  void add(const std::string& word, Command command) { commands_[word] = std::move(command); }
+
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
   size_t open() const { return sessions_.size(); }
 
@@ -60,7 +66,7 @@
   bool inherited_;
   Limits limits_;
   size_t buffered_ = 0;
-  Put put_;
+  std::map<std::string, Command> commands_;
   Busy busy_;
   bool accepting_ = false;
   bool finishing_ = false;
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -4,11 +4,11 @@
 #include <nlohmann/json.hpp>
 #include <ranges>
 
-#include "clients.h"
 #include "config.h"
 #include "discovery.h"
 #include "journal.h"
 #include "peers.h"
+#include "put.h"
 #include "resp.h"
 
 namespace firspool::relay {
