--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -24,9 +24,8 @@
   // Looks at what is read so far: handles a whole request, or reads on.
   void proceed();
 
-  size_t buffered() const {
-    return reading_ && !pushed_out_ ? counted_ : 0;
-  }  // bytes that push_out() would free
+  // Bytes that push_out() would free.
+  size_t buffered() const { return reading_ && !pushed_out_ ? counted_ : 0; }
   // Ends the read, which then answers.
   void push_out();
   // Wakes a pending read, which then decides: bytes that came in the meantime are a request to be served.
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -1,8 +1,6 @@
 #include "fleet_link.h"
 
 #include <algorithm>
-#include <filesystem>
-#include <fstream>
 #include <nlohmann/json.hpp>
 
 #include "log.h"
@@ -15,24 +13,8 @@
 
 constexpr Time kLinesIn = 10'000'000;  // so many lines at most in this time
 constexpr int kMostLines = 50;
-constexpr Time kWriteAgain = 1'000'000;
 constexpr int kAtOnce = 64;  // datagrams read before others have their turn
 
-std::filesystem::path incarnation_file(const std::string& state) {
-  return std::filesystem::path(state) / "fleet.json";
-}
-
-// The highest incarnation that this name is known to have had; 0 where the folder tells none (its peers
-// will).
-uint64_t stored_incarnation(const std::string& state) {
-  std::ifstream in(incarnation_file(state));
-  const auto text = nlohmann::json::parse(in, nullptr, false);
-  if (!text.is_object() || !text.contains("incarnation") || !text["incarnation"].is_number_unsigned())
-    return 0;
-  const auto value = text["incarnation"].get<uint64_t>();
-  return value <= fleet::kMostIncarnation ? value : 0;
-}
-
 }  // namespace
 
 fleet::Membership::Settings FleetLink::membership_settings(const Config& config, std::string version) {
@@ -43,7 +25,7 @@
   out.period = config.fleet->period;
   out.version = std::move(version);
   out.started_ms = static_cast<uint64_t>(std::max<Time>(0, instant_now().wall / 1000));
-  out.incarnation = stored_incarnation(config.state);
+  out.incarnation = IncarnationFile(config.state).stored();
   return out;
 }
 
@@ -51,10 +33,10 @@
                      PolicyLink::Host host)
     : io_(io),
       settings_(*config.fleet),
-      state_(config.state),
       counted_(std::move(counted)),
       socket_(io),
       timer_(io),
+      incarnation_(config.state),
       view_(membership_settings(config, program), config.seed),
       count_(static_cast<int>(settings_.peers.size()), settings_.term) {
   const udp::endpoint at(settings_.bind.address(), settings_.bind.port());
@@ -131,7 +113,7 @@
 }
 
 void FleetLink::step() {
-  remember();  // before anything of a new incarnation is said
+  incarnation_.keep(view_.incarnation());  // before anything of a new incarnation is said
   for (const fleet::Datagram& one : view_.take()) {
     const auto to = addresses_.find(one.to);
     if (to == addresses_.end()) continue;
@@ -158,21 +140,6 @@
   });
 }
 
-void FleetLink::remember() {
-  if (view_.incarnation() == written_ || steady_now() < write_again_) return;
-  write_again_ = steady_now() + kWriteAgain;
-  const auto path = incarnation_file(state_);
-  const auto fresh = std::filesystem::path(path) += ".new";
-  std::ofstream out(fresh, std::ios::trunc);
-  out << nlohmann::json{{"incarnation", view_.incarnation()}}.dump() << "\n";
-  out.close();
-  std::error_code failed;
-  if (out) std::filesystem::rename(fresh, path, failed);
-  if (!out || failed) return;  // a full disk: its peers know it too, and it is tried again
-  written_ = view_.incarnation();
-  write_again_ = 0;
-}
-
 void FleetLink::tell(const fleet::Membership::Event& event) {
   using What = fleet::Membership::Event::What;
   const Time now = steady_now();
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -15,6 +15,7 @@
 #include "../fleet/membership.h"
 #include "budget.h"
 #include "config.h"
+#include "incarnation.h"
 #include "policy_link.h"
 
 namespace firspool::relay {
@@ -50,15 +51,14 @@
   void receive();
   void step();  // after each call on the machine: sends, writes down, tells
   void arm();
-  void remember();
   void tell(const umberhoist::fleet::Membership::Event& event);
 
   boost::asio::io_context& io_;
   FleetSettings settings_;
-  std::string state_;
   Counted counted_;
   udp::socket socket_;
   boost::asio::steady_timer timer_;
+  IncarnationFile incarnation_;
   umberhoist::fleet::Membership view_;
   umberhoist::fleet::Count count_;
   std::optional<PolicyLink> policy_;  // once the address is this process's
@@ -66,8 +66,6 @@
   std::map<udp::endpoint, std::string> names_;
   udp::endpoint sender_;
   std::array<char, 2048> buffer_;  // longer ones are cut short, and malformed
-  uint64_t written_ = 0;           // the incarnation on disk
-  Time write_again_ = 0;           // where it could not be written
   uint64_t sent_ = 0;
   uint64_t sent_bytes_ = 0;
   uint64_t unsent_ = 0;  // the socket's buffer was full, or the network unreachable
--- a/relay/fleet_wire.h
+++ b/relay/fleet_wire.h
@@ -11,7 +11,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <functional>
 #include <list>
 #include <map>
@@ -19,7 +18,7 @@
 #include <string>
 #include <string_view>
 
-#include "config.h"
+#include "fleet_settings.h"
 
 namespace firspool::relay {
 
