--- a/relay/handover.h
+++ b/relay/handover.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/local/stream_protocol.hpp>
+#include <chrono>
 #include <deque>
 #include <filesystem>
 #include <functional>
@@ -52,6 +53,8 @@
 class Handover {
  public:
   using Asked = std::function<void(std::shared_ptr<Link>)>;
+  static constexpr auto kPause =
+      std::chrono::milliseconds(20);  // before the other process is looked for again
 
   // Listens for a successor; throws boost::system::system_error.
   Handover(boost::asio::io_context& io, const std::filesystem::path& folder, int place, Asked asked);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -55,30 +55,32 @@
     Clients::Answer answer;
   };
 
+  // The start, the report and the end (relay.cpp).
   void recall(const std::map<std::string, std::string>& facts);
+  void told(const HostList& list);
   void open();
   void serve();
   void listen();
-  void remember(const DestinationMemory& memory);
+  void report();
+  void wait_for_end();
+  std::string busy_line(Time within);  // with a wait of at most that, where settings allow one
+  size_t client_limit() const;
+  // The turn with the module (turn.cpp).
   void put(Handed handed, Clients::Answer answer);
-  void told(const HostList& list);
   bool may_start(const Call& call);
   void ended(const AttemptEnded& end, bool began);
   void happened(Event event);
   void step();
   void answer_pending(const std::vector<Action>& actions);
   void carry_out(const Action& action);
-  std::string busy_line(Time within);  // with a wait of at most that, where settings allow one
-  HostList renamed_list() const;
-  size_t client_limit() const;
   void arm();
+  Lane lane_of(const Member& member) const;
+  // The rules that hold, its own and the fleet's (rules.cpp).
   void join_fleet();
   void take(Config next);
   std::string fenced_line();
   bool shut() const;  // the fleet's fence: nothing new is taken on
-  void wait_for_end();
-  void report();
-  // Upgrade (upgrade.cpp): as the successor of another process,
+  // Upgrade: as the successor of another process (upgrade_successor.cpp),
   static Standing take_places(const std::filesystem::path& folder);
   size_t file_limit() const;
   void adopt(Place left);
@@ -86,7 +88,7 @@
   void heard_as_successor(Word word, const std::string& text);
   void take_share(const std::string& text);
   void apply_share();
-  // and as the predecessor of one.
+  // and as the predecessor of one (upgrade_predecessor.cpp).
   void await_successor();
   void asked(std::shared_ptr<Link> link);
   void hand_over();
@@ -95,8 +97,6 @@
   void passed_on(const std::string& id);
   void successor_lost();
 
-  Lane lane_of(const Member& member) const;
-
   boost::asio::io_context& io_;
   Config config_;
   Directory directory_;
--- /dev/null
+++ b/relay/rules.cpp
@@ -0,0 +1,93 @@
+// Under which rules the relay serves: its configuration and the fleet's policy, taken over while it runs.
+#include <stdexcept>
+
+#include "config_policy.h"
+#include "descriptors.h"
+#include "known.h"
+#include "log.h"
+#include "relay.h"
+
+namespace firspool::relay {
+
+// A successor joins once it serves: its predecessor has the address until then.
+void Relay::join_fleet() {
+  if (!config_.fleet || fleet_) return;
+  PolicyLink::Host host;
+  host.check = [this](const std::string& policy) -> std::string {
+    try {
+      (void)with_policy(config_, policy);
+      return "";
+    } catch (const std::exception& fault) {
+      return fault.what();
+    }
+  };
+  host.fault = [this](const std::string& policy) { return policy_fault(config_, policy); };
+  host.adopt = [this](const std::string& policy) { take(with_policy(config_, policy)); };
+  fleet_.emplace(
+      io_, config_, UMBERHOIST_VERSION,
+      [this](int relays) {
+        if (!config_.fleet->count_view || std::exchange(relays_, relays) == relays) return;
+        apply_share();
+      },
+      std::move(host));
+  replies_.add("POLICY", [this](const std::string& rest) {
+    return fleet_ ? fleet_->policy().call(rest) : "ERR not in the fleet now\n";
+  });
+  replies_.add("FLEET", [this](const std::string&) {
+    return fleet_ ? fleet_->members() : "ERR not in the fleet now\n";
+  });
+  replies_.add_figures([this] { return fleet_ ? fleet_->figures() : std::string(); });
+}
+
+// All of the file or nothing of it. Where this process listens stays as it is until it is started again.
+void Relay::reload() {
+  Config next;
+  try {
+    next = load_config(config_.path, config_.state);
+    if (const std::string key = missing_key(config_, next); !key.empty()) {
+      throw std::invalid_argument(key + " is missing");
+    }
+    if (config_.fleet && policy_of(next) != policy_of(config_)) {
+      throw std::invalid_argument("its policy is not the fleet's: that is changed by POLICY PROPOSE");
+    }
+  } catch (const std::exception& fault) {
+    custody_.figures().reloaded(false);
+    log_event(LogLevel::kWarning, "config_kept",
+              std::string("configuration is kept as it was: ") + fault.what(), {{"reason", fault.what()}});
+    return;
+  }
+  custody_.figures().reloaded(true);
+  take(std::move(next));
+  log_info("config_taken", "configuration is taken: " + std::to_string(custody_.classes()) + " classes",
+           {{"classes", custody_.classes()}});
+}
+
+void Relay::take(Config next) {
+  const bool moved = next.discovery != config_.discovery;
+  next.listen = config_.listen;
+  next.inherited = config_.inherited;
+  next.operator_address = config_.operator_address;
+  if (!config_.fleet) next.fleet.reset();  // begins with the next start
+  if (next.fleet) next.fleet->bind = config_.fleet->bind;
+  config_ = std::move(next);
+  custody_.retune(config_.settings);
+  if (fleet_) fleet_->retune(config_);
+  upstream_.retune(upstream_limits(config_), config_.report_fields);
+  watch_.rename(config_.names);
+  apply_share();
+  told(listed_again(directory_, config_.names));
+  if (moved) {
+    watch_.move(config_.discovery);
+    custody_.notices().move(config_.discovery);
+  }
+}
+
+bool Relay::shut() const { return config_.fleet && !(fleet_ && fleet_->policy().open()); }
+
+std::string Relay::fenced_line() {
+  if (!fleet_) return "-BUSY";
+  fleet_->policy().turned_away();
+  return busy_line(config_.fleet->term);
+}
+
+}  // namespace firspool::relay
--- a/relay/upgrade.cpp
+++ b/relay/upgrade_successor.cpp
@@ -1,4 +1,5 @@
-// The relay's part in an upgrade: one process takes over from another while both run.
+// An upgrade's successor: whose journals there are at the start, and what is taken over from the process that
+// serves.
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -12,8 +13,6 @@
 constexpr double kFilePart = 0.47;   // of the disk, for one file: while it is compacted there are two
 constexpr double kDiskPart = 0.96;   // what two processes share; the rest is a starting successor's
 constexpr double kStartPart = 0.02;  // one file of a successor to which nothing was given yet
-constexpr size_t kMostUnsent = 1024 * 1024;
-constexpr auto kPeerPause = std::chrono::milliseconds(20);
 
 size_t part(double share, size_t bytes) { return static_cast<size_t>(share * static_cast<double>(bytes)); }
 
@@ -72,7 +71,7 @@
                  });
     return link_->say(Word::kReady, "");
   }
-  peer_timer_.expires_after(kPeerPause);
+  peer_timer_.expires_after(Handover::kPause);
   peer_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) succeed();
   });
@@ -137,128 +136,4 @@
   if (clients_) clients_->limit(client_limit());
 }
 
-void Relay::await_successor() {
-  try {
-    handover_.emplace(io_, config_.state, custody_.journal().place(),
-                      [this](std::shared_ptr<Link> link) { asked(std::move(link)); });
-  } catch (const std::exception& fault) {  // it can still wait for this process to end
-    log_event(LogLevel::kWarning, "successor_cannot_ask",
-              std::string("a successor cannot ask: ") + fault.what());
-  }
-}
-
-void Relay::asked(std::shared_ptr<Link> link) {
-  if (link_) return link->close();
-  link_ = std::move(link);
-  link_->start(
-      [this](Word word, const std::string& text) {
-        if (word == Word::kReady && !handing_) hand_over();
-        if (word == Word::kWritten) passed_on(text);
-      },
-      [this] {
-        link_.reset();
-        if (handing_) successor_lost();
-      });
-}
-
-void Relay::hand_over() {
-  log_info("successor_takes_over",
-           "a successor takes over: " + std::to_string(custody_.held().size()) + " messages held, " +
-               std::to_string(upstream_.out()) + " calls out",
-           {{"held", custody_.held().size()}, {"calls", upstream_.out()}});
-  handing_ = closed_ = true;
-  fleet_.reset();  // the successor needs its address
-  clients_->finish();
-  upstream_.close_all_idle();
-  share_.file = custody_.journal().freeze();
-  told_share_.clear();
-  happened(Closing{steady_now()});  // starts no call, and lets those that are out end
-  tell_share();
-  wait_for_end();
-}
-
-// What is not out goes to the successor; the module forgets it, and the journal once it is written there.
-void Relay::pass_on() {
-  tell_share();  // waits told by now go ahead of the messages that must heed them
-  if (!link_) return;
-  for (auto& [number, held] : custody_.held()) {
-    if (held.out || held.passed) continue;
-    held.passed = true;
-    happened(Withdrawn{number});
-    link_->say(Word::kMessage, held.handed.id + "\n" + custody_.journal().records(held.handed.id));
-  }
-}
-
-void Relay::passed_on(const std::string& id) {
-  const auto number = custody_.number_of(id);
-  if (!number) return;
-  custody_.journal().done(id);
-  custody_.forget(*number);
-}
-
-void Relay::tell_share() {
-  // One that does not read hears the newest when it does again.
-  if (!link_ || link_->unsent() > kMostUnsent) return;
-  nlohmann::json ids = nlohmann::json::array();
-  for (const auto& [id, number] : custody_.numbers()) ids.push_back(id);
-  const Instant now = instant_now();
-  nlohmann::json waits = nlohmann::json::array();
-  for (const auto& [lane, wait] : waits_.all()) {
-    if (wait.until <= now.steady) continue;
-    const ListedHost* host = directory_.find(lane.second);
-    waits.push_back({{"cell", lane.first},
-                     {"id", host == nullptr ? "" : host->id},
-                     {"until", wait.until + now.wall - now.steady},
-                     {"steady", wait.until}});
-  }
-  const nlohmann::json share = {{"calls", upstream_.out()},
-                                {"held", custody_.held().size()},
-                                {"clients", clients_->open()},
-                                {"file", share_.file},
-                                {"ids", ids},
-                                {"boot", now.boot},
-                                {"waits", waits},
-                                {"facts", told_share_.empty() ? custody_.journal().remembered()
-                                                              : std::map<std::string, std::string>{}}};
-  std::string text = share.dump();
-  if (text == told_share_) return;
-  link_->say(Word::kShare, text);
-  told_share_ = std::move(text);
-}
-
-// It took over and is gone: this process serves again, with what the other had.
-void Relay::successor_lost() {
-  if (stopping_since_ != 0) return;
-  auto left = Place::take(config_.state, 1 - custody_.journal().place());
-  if (!left) {
-    peer_timer_.expires_after(kPeerPause);
-    peer_timer_.async_wait([this](const boost::system::error_code& error) {
-      if (!error && handing_ && !link_) successor_lost();
-    });
-    return;
-  }
-  log_event(LogLevel::kWarning, "successor_gone", "the successor is gone: serving again");
-  handing_ = closed_ = false;
-  share_ = {};
-  custody_.journal().limit(file_limit());
-  happened(Closing{std::numeric_limits<Time>::max()});
-  // A message that it had written may have been sent by it: its records count, not the ones here.
-  for (const Recovered& entry : custody_.journal().read(left->read())) passed_on(entry.message.id);
-  adopt(std::move(*left));
-  std::vector<Recovered> again;
-  std::vector<uint64_t> passed;
-  for (const auto& [number, held] : custody_.held()) {
-    if (!held.passed) continue;
-    passed.push_back(number);
-    for (Recovered& entry : custody_.journal().read(custody_.journal().records(held.handed.id))) {
-      again.push_back(std::move(entry));
-    }
-  }
-  for (const uint64_t number : passed) custody_.forget(number);
-  custody_.resume(again);
-  join_fleet();
-  clients_.reset();
-  listen();
-}
-
 }  // namespace firspool::relay
