Lab: a scenario's file, its faults and the drawn plan in files of their own

Now table_reader owns keys, fault.{h,cpp} what a fault says and how it is drawn, plan.{h,cpp} the draw, range.h the figure that is drawn. A section is a Spec with a read(TableReader&, Spec&) beside it, so that one of a new part is a file of its own and a line of read_scenario.

--- a/lab/figures.h
+++ b/lab/figures.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "scenario.h"
+#include "plan.h"
 
 namespace umberhoist::lab {
 
--- a/lab/ports.h
+++ b/lab/ports.h
@@ -9,7 +9,7 @@
 #include <boost/asio/ip/udp.hpp>
 #include <list>
 
-#include "scenario.h"
+#include "range.h"
 
 namespace umberhoist::lab {
 
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -1,34 +1,20 @@
-// A scenario as its file has it, and the plan that a seed draws from it.
+// A scenario as its file has it.
 //
-// A figure in the file is a number or a range [LOW, HIGH]; a range is drawn once a play, each fault from a
-// stream of its own, so that the same seed gives the same plan and a fault keeps its figures when another is
-// taken out. Times are seconds from the moment that all relays serve. What is not understood is turned down:
-// Unusable, one line that names the key.
+// A figure in the file is a number or a range [LOW, HIGH]; a range is drawn once a play (plan.h). Times are
+// seconds from the moment that all relays serve. What is not understood is turned down: Unusable, one line
+// that names the key. Each section is a Spec with a read(TableReader&, Spec&); one of a part of its own
+// stands in a file of its own, as fault.h does, and is one line of read_scenario.
 #pragma once
 
 #include <toml++/toml.h>
 
-#include <pcg_random.hpp>
-#include <random>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
-namespace umberhoist::lab {
-
-struct Unusable : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
+#include "fault.h"
+#include "table_reader.h"
 
-using Chance = pcg64;
-
-struct Range {
-  double low = 0;
-  double high = 0;
-  double draw(Chance& chance) const {
-    return high > low ? std::uniform_real_distribution<double>(low, high)(chance) : low;
-  }
-};
+namespace umberhoist::lab {
 
 struct ClassSpec {
   std::string name;
@@ -92,26 +78,6 @@
   int others = 0;                   // so many relays run it
 };
 
-// What a fault does and to how many; which ones, the seed draws.
-struct FaultSpec {
-  std::string kind;
-  std::string
-      state;  // partner: down silent hung slow lossy errors shut; discovery: mute late; policy: aborted
-  std::string folder = "kept";  // kill, term, roll: kept emptied torn
-  Range at_s = {0, 0};
-  Range for_s = {0, 0};
-  Range share = {0, 0};  // of relays, partners or pairs; 0: `count` of them
-  Range count = {1, 1};
-  Range factor = {1, 1};   // slow, limit, surge, hot
-  Range every_s = {1, 1};  // roll
-  Range loss = {0, 0};     // net
-  Range delay_ms = {0, 0};
-  Range duplicate = {0, 0};
-  Range reorder = {0, 0};
-  std::string direction = "both";  // net: both, one
-  int stream = 0;                  // of chance
-};
-
 struct SimSpec {                        // on the simulated clock
   std::string protocol = "membership";  // heartbeat, membership, agreement
   double period_ms = 500;
@@ -140,53 +106,14 @@
   int voters() const { return relays >= 5 ? 5 : relays >= 3 ? 3 : 1; }  // the first ones
 };
 
-// Reads a file with `set` (KEY=VALUE, a dotted path) laid over it. Throws Unusable.
-toml::table load_table(const std::string& path, const std::vector<std::string>& set);
-Scenario read_scenario(const toml::table& table);
-
-// ---- The plan: all that chance decides before the play ----
+void read(TableReader& in, ClassSpec& out);
+void read(TableReader& in, TenantSpec& out);
+void read(TableReader& in, Load& out);
+void read(TableReader& in, PartnerSpec& out);
+void read(TableReader& in, RelaySpec& out);
+void read(TableReader& in, SimSpec& out);
 
-struct Fault {
-  std::string kind;
-  std::string state;
-  std::string folder;
-  double at = 0;
-  double lasts = 0;
-  double factor = 1;
-  double loss = 0;
-  double delay = 0;  // seconds
-  double duplicate = 0;
-  double reorder = 0;
-  bool one_way = false;
-  std::vector<int> targets;  // relays, or destinations
-  bool of_partners() const;  // else of relays
-  std::string text() const;  // for a person, without the time
-};
-
-struct PlannedPartner {
-  bool large = false;
-  int endpoints = 1;
-  double pace = 0.25;
-  double limit = 10;  // calls a second
-  double weight = 0;  // of the traffic
-};
-
-struct PlannedMessage {
-  double at = 0;
-  int message_class = 0;
-  int tenant = 0;
-  int destination = 0;
-};
-
-struct Plan {
-  uint64_t seed = 0;
-  std::vector<PlannedPartner> partners;
-  std::vector<PlannedMessage> messages;
-  std::vector<Fault> faults;        // by time
-  std::vector<double> wall_offset;  // of each relay, seconds
-  uint64_t digest() const;          // two plans with the same are the same
-};
-
-Plan draw(const Scenario& scenario, uint64_t seed);
+// Throws Unusable.
+Scenario read_scenario(const toml::table& table);
 
 }  // namespace umberhoist::lab
--- a/lab/sim.h
+++ b/lab/sim.h
@@ -10,7 +10,7 @@
 #include <set>
 
 #include "../fleet/machine.h"
-#include "scenario.h"
+#include "plan.h"
 
 namespace umberhoist::lab {
 
--- a/lab/world.h
+++ b/lab/world.h
@@ -10,8 +10,8 @@
 
 #include "figures.h"
 #include "oracle.h"
+#include "plan.h"
 #include "ports.h"
-#include "scenario.h"
 
 namespace umberhoist::lab {
 
