--- a/tests/fleet/agreement_model_test.cpp
+++ b/tests/fleet/agreement_model_test.cpp
@@ -11,7 +11,7 @@
 #include <deque>
 #include <unordered_set>
 
-#include "sim_agreement.h"
+#include "agreement_guest.h"
 
 namespace umberhoist::lab {
 namespace {
