Lab: one oracle, one file: verdicts, policy, processes, cold restarts apart from messages

oracle.cpp was 366 lines of one class. Verdicts is the book that all share (checked, broke, held); an oracle that needs nothing of the others is a class over Rules and Verdicts and a member of Oracles, as PolicyOracle and ProcessOracle are; those that judge by the messages held stay together, cold restarts in a file of their own. Names, texts and limits are as they were.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -274,7 +274,7 @@
                    (last.empty() ? "" : ": " + last));
   }
   if (!killed) {
-    world_.oracles.ended(now, relay, r.term_at >= 0, code, r.term_at >= 0 ? now - r.term_at : 0);
+    world_.oracles.processes.ended(now, relay, r.term_at >= 0, code, r.term_at >= 0 ? now - r.term_at : 0);
     if (r.term_at < 0 && !ending_) {  // by itself: the platform starts it again
       world_.oracles.down(now, relay);
       if (went) went(relay);
@@ -284,7 +284,7 @@
   }
   // Whatever it started must be gone with it.
   const bool orphan = ::kill(-r.group, 0) == 0;
-  world_.oracles.left_behind(now, relay, orphan ? "left a process behind" : "");
+  world_.oracles.processes.left_behind(now, relay, orphan ? "left a process behind" : "");
   if (orphan) ::kill(-r.group, SIGKILL);
   if (ending_ || r.again < 0) return;
   world_.after(std::max(kAgain, r.again), [this, relay] {
@@ -423,7 +423,7 @@
   if (memory <= 0) return;  // a zombie
   world_.figures.used(world_.now(), relay, std::max(0.0, cpu - r.cpu), memory, descriptors);
   r.cpu = cpu;
-  world_.oracles.measured(world_.now(), relay, memory, descriptors, disk);
+  world_.oracles.processes.measured(world_.now(), relay, memory, descriptors, disk);
 }
 
 }  // namespace umberhoist::lab
--- a/lab/oracle.h
+++ b/lab/oracle.h
@@ -2,8 +2,8 @@
 // and no relay is ever asked. A state machine without sockets or clocks: times are seconds on the play's
 // clock.
 //
-// Every oracle counts what it checked, so that one that never had anything to check shows as 0 and not as
-// held.
+// One that needs nothing of the others is a class in files of its own over Rules and Verdicts, and a member
+// here.
 #pragma once
 
 #include <cstdint>
@@ -14,25 +14,13 @@
 #include <unordered_map>
 #include <vector>
 
+#include "policy_oracle.h"
+#include "process_oracle.h"
+
 namespace umberhoist::lab {
 
 enum class Effect { kSafe, kKeyed, kUnsafe };
 
-struct Rules {  // of the play; slack is added here and nowhere else
-  double drain_grace = 2;
-  double slack = 0.05;         // every limit is so much longer on sockets
-  double final_slack = 0.3;    // after a message's time is up
-  double restart_slack = 1.5;  // after the relay is ready again, for what came due meanwhile
-  double wait_grace = 0.1;     // calls that arrive so soon after a told wait had been sent before
-  double end_within = 3.7;     // of SIGTERM
-  double ready_within = 10;    // of a start
-  double policy_mix = 3.0 * (1 + 2 / 500.0);  // two policies are in force at once for so long at most
-  double dropped_share = 0.005;               // of the requests may be closed with no answer
-  double memory_bytes = 192e6;
-  double disk_bytes = 3e6;
-  int sockets = 1024;
-};
-
 struct HandIn {  // one try of a message, under an id of its own
   int relay = 0;
   Effect effect = Effect::kSafe;
@@ -46,16 +34,15 @@
 enum class Answer { kTaken, kRefused, kFailed, kSilent, kClosed, kGone };  // kGone: the relay was down
 
 class Oracles {
- public:
-  struct State {
-    uint64_t checked = 0;
-    uint64_t broken = 0;
-    std::string first;  // when, what, which relay; empty: held
-    int relay = -1;
-    double at = 0;
-  };
+  Rules rules_;  // before those that look them up
+  Verdicts verdicts_;
 
+ public:
   explicit Oracles(Rules rules, int relays);
+  Oracles(const Oracles&) = delete;
+
+  PolicyOracle policy;
+  ProcessOracle processes;
 
   // Clients.
   void handed_in(const std::string& id, HandIn hand);
@@ -83,34 +70,12 @@
   void ready(double now, int relay);  // serves, or was woken
   void emptied(int relay);            // its folder: what it held is others'
   void started(double now, int relay, double took);
-  void ended(double now, int relay, bool asked, int status, double after);
-  void measured(double now, int relay, double memory, int descriptors, double disk);
-  // Relays' views of each other settled after so long, or (`wrong` says how) did not.
-  void view(double now, double took, double most, const std::string& wrong);
-  void left_behind(double now, int relay, const std::string& what);
-
-  // The fleet's policy, by generations. A relay took a message on under one, asked at `asked`.
-  void acted(double now, double asked, int relay, int generation);
-  void proposed(double now, int generation) { policies_.proposed[generation] = now; }
-  // A relay says how a change ended.
-  void change_ended(double now, int relay, int generation, bool in_force);
-  // A relay serves as the play ends: it must have acted under the newest, a moment ago.
-  void acts_at_end(double now, int relay);
-  struct Policies {
-    std::map<int, double> proposed;
-    std::map<int, double> first;                 // generation: when one was first seen to act under it
-    std::map<int, std::pair<int, double>> last;  // relay: under which it acted last, and when
-    std::map<int, std::map<int, double>> taken;  // generation: relays, and when each first acted under it
-    double longest_mix = 0;                      // seconds that two were acted under
-    double slowest = -1;                         // from a proposal until the last relay acted under it
-  };
-  const Policies& policies() const { return policies_; }
 
   // The play is over: what is still owed and due is lost.
   void finish(double now);
 
-  const std::map<std::string, State>& states() const { return states_; }
-  bool held() const;
+  const std::map<std::string, Verdicts::State>& states() const { return verdicts_.states(); }
+  bool held() const { return verdicts_.held(); }
   const Rules& rules() const { return rules_; }
   const HandIn* find(const std::string& id) const;
   bool delivered(const std::string& id) const;
@@ -139,14 +104,11 @@
     double ended = -1;
   };
 
-  State& of(const std::string& name) { return states_[name]; }
-  void broke(const std::string& oracle, double now, int relay, const std::string& what);
   void back(int destination);
   double excused_until(int relay, double limit) const;
   bool seen_failing(const Outage& outage, int destination, int relay) const;
   void end(double now, Held& held, const std::string& id);
 
-  Rules rules_;
   std::unordered_map<std::string, Held> held_;
   std::map<int, std::vector<std::string>> by_destination_;
   std::vector<std::vector<Away>> away_;
@@ -154,10 +116,8 @@
   std::vector<std::map<int, std::pair<double, double>>> waits_;  // of each relay: told, until
   std::map<int, Outage> outages_;
   std::map<int, std::set<int>> failed_at_;  // destination: relays that saw a failure in its outage
-  Policies policies_;
   uint64_t requests_ = 0;
   uint64_t dropped_ = 0;
-  std::map<std::string, State> states_;
 };
 
 }  // namespace umberhoist::lab
--- a/lab/policies.cpp
+++ b/lab/policies.cpp
@@ -35,7 +35,7 @@
 // The last two that were seen in force, and all that were proposed after.
 std::vector<int> Policies::candidates() const {
   std::vector<std::pair<double, int>> seen;
-  for (const auto& [generation, first] : world_.oracles.policies().first)
+  for (const auto& [generation, first] : world_.oracles.policy.seen().first)
     seen.emplace_back(first, generation);
   std::ranges::sort(seen, std::greater<>());
   std::vector<int> out;
@@ -87,7 +87,7 @@
                              : fleet_.away(relay)        ? Answer::kGone
                                                          : Answer::kClosed;
           world_.oracles.answered(now, id, how);
-          if (taken) world_.oracles.acted(now, asked, relay, generation);
+          if (taken) world_.oracles.policy.acted(now, asked, relay, generation);
         });
   });
 }
@@ -111,7 +111,7 @@
     try {
       const auto reply = ctl::ask(text_of(fleet_.second_address(r)), "POLICY PROPOSE " + id + " " + path);
       if (!reply.ok) world_.figures.policy_turned_down();
-      world_.oracles.proposed(world_.now(), generation);
+      world_.oracles.policy.proposed(world_.now(), generation);
       if (aborted) (void)ctl::ask(text_of(fleet_.second_address(serving_from(r + 1))), "POLICY ABORT " + id);
     } catch (const std::exception&) {
       world_.figures.policy_turned_down();
@@ -128,14 +128,14 @@
       for (const std::string& line : reply.lines) {
         if (!line.starts_with("g")) continue;
         const bool in_force = line.find(" in_force ") != std::string::npos;
-        world_.oracles.change_ended(world_.now(), r, std::atoi(line.c_str() + 1), in_force);
+        world_.oracles.policy.change_ended(world_.now(), r, std::atoi(line.c_str() + 1), in_force);
       }
     } catch (const std::exception&) {
       continue;
     }
-    world_.oracles.acts_at_end(world_.now(), r);
+    world_.oracles.policy.acts_at_end(world_.now(), r);
   }
-  const auto& seen = world_.oracles.policies();
+  const auto& seen = world_.oracles.policy.seen();
   world_.figures.policy(seen.longest_mix, seen.slowest, static_cast<int>(seen.first.size()) - 1);
 }
 
--- a/lab/views.cpp
+++ b/lab/views.cpp
@@ -20,10 +20,10 @@
     if (last_.empty()) {
       settled_ = world_.now() - began_;
       world_.figures.view_settled(settled_);
-      world_.oracles.view(world_.now(), settled_, most_, "");
+      world_.oracles.processes.view(world_.now(), settled_, most_, "");
     } else if (world_.now() - began_ > most_) {
       settled_ = world_.now() - began_;
-      world_.oracles.view(world_.now(), settled_, most_, last_);
+      world_.oracles.processes.view(world_.now(), settled_, most_, last_);
     } else {
       look();
     }
@@ -32,7 +32,7 @@
 
 void Views::finish() {
   if (began_ >= 0 && settled_ < 0 && world_.now() - began_ > most_) {
-    world_.oracles.view(world_.now(), world_.now() - began_, most_, last_);
+    world_.oracles.processes.view(world_.now(), world_.now() - began_, most_, last_);
   }
   ++watch_;
 }
--- a/tests/fleet/lab_test.cpp
+++ b/tests/fleet/lab_test.cpp
@@ -68,19 +68,19 @@
 TEST(OracleTest, TwoPoliciesAtOnceTooLongOneThatIsBackAndOneThatWasAbortedAreSeen) {
   const auto broken = [](const std::function<void(Oracles&)>& course) {
     Oracles o({}, 3);
-    for (int r = 0; r < 3; ++r) o.acted(1, 0.9, r, 0);
-    o.proposed(2, 1);
-    o.acted(3, 2.9, 0, 1);
+    for (int r = 0; r < 3; ++r) o.policy.acted(1, 0.9, r, 0);
+    o.policy.proposed(2, 1);
+    o.policy.acted(3, 2.9, 0, 1);
     course(o);
     return o.states().at("one_policy").first;
   };
-  EXPECT_EQ(broken([](Oracles& o) { o.acted(6, 5.9, 1, 0); }), "");
-  EXPECT_NE(broken([](Oracles& o) { o.acted(6.2, 6.1, 1, 0); }), "");
-  EXPECT_NE(broken([](Oracles& o) { o.acted(4, 3.9, 0, 0); }), "");
-  EXPECT_NE(broken([](Oracles& o) { o.change_ended(5, 2, 1, false); }), "");
-  EXPECT_EQ(broken([](Oracles& o) { o.change_ended(5, 2, 1, true); }), "");
-  EXPECT_NE(broken([](Oracles& o) { o.acts_at_end(5, 1); }), "");
-  EXPECT_EQ(broken([](Oracles& o) { o.acts_at_end(5, 0); }), "");
+  EXPECT_EQ(broken([](Oracles& o) { o.policy.acted(6, 5.9, 1, 0); }), "");
+  EXPECT_NE(broken([](Oracles& o) { o.policy.acted(6.2, 6.1, 1, 0); }), "");
+  EXPECT_NE(broken([](Oracles& o) { o.policy.acted(4, 3.9, 0, 0); }), "");
+  EXPECT_NE(broken([](Oracles& o) { o.policy.change_ended(5, 2, 1, false); }), "");
+  EXPECT_EQ(broken([](Oracles& o) { o.policy.change_ended(5, 2, 1, true); }), "");
+  EXPECT_NE(broken([](Oracles& o) { o.policy.acts_at_end(5, 1); }), "");
+  EXPECT_EQ(broken([](Oracles& o) { o.policy.acts_at_end(5, 0); }), "");
 }
 
 TEST(CompareTest, TellsADifferenceFromNoise) {
