--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -1,19 +1,14 @@
 #include "fleet.h"
 
-#include <fcntl.h>
-#include <sys/prctl.h>
-#include <sys/resource.h>
 #include <sys/wait.h>
-#include <unistd.h>
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <csignal>
-#include <cstring>
 #include <fstream>
 
 #include "../ctl/ask.h"
-#include "policies.h"
+#include "process.h"
 
 namespace umberhoist::lab {
 namespace {
@@ -28,12 +23,6 @@
 constexpr double kPatience = 15;    // for the first start
 constexpr double kKillAfter = 0.5;  // SIGKILL comes so long after the latest end that is promised
 
-// A whole file; empty where it is gone.
-std::string slurp(const fs::path& path) {
-  std::ifstream in(path, std::ios::binary);
-  return {std::istreambuf_iterator<char>(in), {}};
-}
-
 }  // namespace
 
 Fleet::Fleet(World& world, fs::path folder, std::string program,
@@ -63,82 +52,6 @@
 
 fs::path Fleet::folder_of(int relay) const { return root_ / ("relay-" + std::to_string(relay)); }
 
-json Fleet::config_of(int relay, int generation) const {
-  const Scenario& s = world_.scenario;
-  json classes = json::array(), tenants = json::array();
-  for (const ClassSpec& c : s.classes) {
-    classes.push_back({{"name", c.name},
-                       {"semantics", c.effect},
-                       {"key_scope", "all"},
-                       {"key_ttl_s", c.key_ttl_s},
-                       {"target_s", c.target_s},
-                       {"give_up_s", c.give_up_s},
-                       {"worth", c.worth},
-                       {"late_worth", c.late_worth}});
-  }
-  if (s.changes_policy()) classes.push_back(marker_class(generation));
-  for (const TenantSpec& t : s.tenants) tenants.push_back({{"name", t.name}, {"quota_per_s", 0.0}});
-  const double part = s.load.rate / s.relays;
-  const double pace = (s.partners.pace_s.low + s.partners.pace_s.high) / 2;
-  const json settings = {
-      {"azs", {"lj-dc1"}},
-      {"kinds", {"principal", "agent"}},
-      {"categories", classes},
-      {"realms", tenants},
-      {"me", relay},
-      {"siblings", s.relays},
-      {"zone", 0},
-      {"family_info",
-       {{"calls_out", std::max(4, static_cast<int>(std::ceil(s.relay.slots_factor * part * pace)))},
-        {"kind_apart", {false, false}},
-        {"kind_batch", {1, 1}},
-        {"late", "halves"}}},
-      {"bounds",
-       {{"open_cap", std::max(8, static_cast<int>(s.relay.hold_s * part))},
-        {"max_attempts", 8},
-        {"streams_per_conn", 1},
-        {"may_probe", false},
-        {"peers", s.fleet},
-        {"cancel", true},
-        {"retry_after", true},
-        {"max_retry_after_s", 3.0},
-        {"conn_idle_s", 5.0},
-        {"connect_timeout_s", 1.0}}},
-      {"obligations",
-       {{"stop_sending_within_s", s.partners.drain_grace_s},
-        {"answer_slack_s", 0.25},
-        {"cold_s", s.partners.cold_s},
-        {"fall_s", s.partners.fall_s},
-        {"fall_multiple", s.partners.fall_multiple},
-        {"start_capacity", s.partners.start_capacity}}},
-      {"telemetry", {{"fields", {"x0", "x1"}}}},
-      {"prices", {{"waste", 0.16}, {"late_fail", 0.03}, {"handshake", 0.02}}},
-      {"discovery", "push"},
-      {"weights", "rough"},
-      {"over_share_worth", 0.1},
-      {"resolution_s", 0.005}};
-  char seed[17];
-  std::snprintf(
-      seed, sizeof seed, "%016llx",
-      static_cast<unsigned long long>(pcg64(world_.plan.seed, 77 + static_cast<uint64_t>(relay))()));
-  json out = {{"name", "n" + std::to_string(relay)},
-              {"listen", text_of(address(relay))},
-              {"discovery", agents_.at(static_cast<size_t>(relay))->address()},
-              {"seed", seed},
-              {"limits",
-               {{"cores", 1.0},
-                {"memory_mb", s.relay.memory_mb},
-                {"sockets", s.relay.sockets},
-                {"disk_mb", s.relay.disk_mb}}},
-              {"known", agents_.at(static_cast<size_t>(relay))->known()},
-              {"settings", settings}};
-  if (network_ != nullptr) {
-    out["fleet"] = network_->section(relay);
-    out["operator"] = text_of(relays_.at(static_cast<size_t>(relay)).second);
-  }
-  return out;
-}
-
 void Fleet::start(std::function<void()> ready) {
   all_ready_ = std::move(ready);
   for (int i = 0; i < static_cast<int>(relays_.size()); ++i) {
@@ -152,35 +65,13 @@
 
 void Fleet::launch(int relay) {
   Relay& r = of(relay);
-  const std::string config = folder_of(relay) / "config.json";
-  const std::string state = folder_of(relay) / "state";
-  const std::string log = folder_of(relay) / "log";
-  char offset[32];
-  std::snprintf(offset, sizeof offset, "%lld",
-                static_cast<long long>(world_.plan.wall_offset[static_cast<size_t>(relay)] * 1000));
-  const pid_t parent = ::getpid();
-  const pid_t pid = ::fork();
-  if (pid < 0) throw Unusable(std::string("no process can be started: ") + std::strerror(errno));
-  if (pid == 0) {
-    ::setpgid(0, 0);
-    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
-    if (::getppid() != parent) ::_exit(127);
-    const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    ::dup2(out, 1);
-    ::dup2(out, 2);
-    std::signal(SIGXFSZ, SIG_IGN);  // a full disk is an error, as by ENOSPC
-    const rlimit descriptors{static_cast<rlim_t>(world_.scenario.relay.sockets),
-                             static_cast<rlim_t>(world_.scenario.relay.sockets)};
-    ::close_range(3, ~0U, 0);
-    ::setrlimit(RLIMIT_NOFILE, &descriptors);
-    ::setenv("PROXY_CONFIG", config.c_str(), 1);
-    ::setenv("PROXY_STATE", state.c_str(), 1);
-    if (std::string_view(offset) != "0") ::setenv("UMBERHOIST_WALL_OFFSET_MS", offset, 1);
-    ::execl(r.program.c_str(), r.program.c_str(), static_cast<char*>(nullptr));
-    ::_exit(127);
-  }
-  ::setpgid(pid, pid);
-  r.pid = r.group = pid;
+  const fs::path folder = folder_of(relay);
+  Program program{r.program, folder / "log", world_.scenario.relay.sockets, {}};
+  program.environment["PROXY_CONFIG"] = folder / "config.json";
+  program.environment["PROXY_STATE"] = folder / "state";
+  const auto offset = static_cast<long long>(world_.plan.wall_offset[static_cast<size_t>(relay)] * 1000);
+  if (offset != 0) program.environment["UMBERHOIST_WALL_OFFSET_MS"] = std::to_string(offset);
+  r.pid = r.group = start_process(program);
   r.state = State::kStarting;
   r.started = world_.now();
   r.term_at = -1;
@@ -294,82 +185,6 @@
   });
 }
 
-void Fleet::kill(int relay, double down_s, const std::string& folder) {
-  Relay& r = of(relay);
-  if (r.pid <= 0 || r.state == State::kDown || r.state == State::kEnding) return;
-  world_.oracles.down(world_.now(), relay);
-  r.state = State::kDown;
-  r.again = down_s;
-  r.folder = folder;
-  if (went) went(relay);
-  ::kill(r.pid, SIGKILL);
-}
-
-void Fleet::term(int relay, double down_s, const std::string& folder) {
-  Relay& r = of(relay);
-  if (r.state != State::kUp) return;
-  world_.oracles.down(world_.now(), relay);
-  r.state = State::kEnding;
-  r.term_at = world_.now();
-  r.again = down_s;
-  r.folder = folder;
-  if (went) went(relay);
-  ::kill(r.pid, SIGTERM);
-}
-
-void Fleet::pause(int relay, double lasts) {
-  Relay& r = of(relay);
-  if (r.state != State::kUp) return;
-  world_.oracles.down(world_.now(), relay);
-  r.state = State::kStopped;
-  if (went) went(relay);
-  ::kill(r.pid, SIGSTOP);
-  world_.after(lasts, [this, relay, pid = r.pid] {
-    Relay& woken = of(relay);
-    if (woken.pid != pid || woken.state != State::kStopped) return;
-    ::kill(pid, SIGCONT);
-    woken.state = State::kUp;
-    world_.oracles.ready(world_.now(), relay);
-    if (up) up(relay);
-  });
-}
-
-void Fleet::fill_disk(int relay, double lasts) {
-  const Relay& r = of(relay);
-  if (r.pid <= 0) return;
-  uintmax_t largest = 0;
-  for (const auto& file : fs::directory_iterator(folder_of(relay) / "state")) {
-    if (file.is_regular_file()) largest = std::max(largest, file.file_size());
-  }
-  rlimit old{};
-  const rlimit full{static_cast<rlim_t>(largest), RLIM_INFINITY};
-  ::prlimit(r.pid, RLIMIT_FSIZE, &full, &old);
-  world_.after(lasts, [pid = r.pid, old, this, relay] {
-    if (of(relay).pid == pid) ::prlimit(pid, RLIMIT_FSIZE, &old, nullptr);
-  });
-}
-
-void Fleet::prepare_folder(int relay, const std::string& how) {
-  const fs::path state = folder_of(relay) / "state";
-  if (how == "emptied") {
-    fs::remove_all(state);
-    fs::create_directories(state);
-    world_.oracles.emptied(relay);
-    if (lost) lost(relay);
-  } else if (how == "torn") {
-    // A last write that came through in part only: the first bytes of what the file held before, cut short.
-    for (const auto& file : fs::directory_iterator(state)) {
-      if (!file.is_regular_file() || file.file_size() == 0) continue;
-      const size_t most = std::min<size_t>(40, file.file_size());
-      const auto length = std::uniform_int_distribution<size_t>(1, most)(world_.chance);
-      const bool framed = file.path().filename() == "policy.records";
-      std::string tail =
-          slurp(file.path()).substr(framed ? 0 : file.file_size() - most, framed ? length % 20 + 1 : length);
-      std::ofstream(file.path(), std::ios::binary | std::ios::app) << tail;
-    }
-  }
-}
-
 void Fleet::end(std::function<void()> ended) {
   ending_ = true;
   all_ended_ = std::move(ended);
@@ -394,36 +209,13 @@
 void Fleet::look(int relay) {
   Relay& r = of(relay);
   if (r.pid <= 0 || r.state == State::kDown) return;
-  const fs::path proc = fs::path("/proc") / std::to_string(r.pid);
-  std::istringstream statm(slurp(proc / "statm"));
-  double size = 0, resident = 0, shared = 0;
-  statm >> size >> resident >> shared;
-  const std::string stat = slurp(proc / "stat");
-  const size_t name = stat.rfind(')');
-  if (name == std::string::npos) return;
-  std::istringstream rest(stat.substr(name + 2));
-  std::string skip;
-  double user = 0, system = 0;
-  for (int i = 0; i < 11; ++i) rest >> skip;
-  rest >> user >> system;
-  const double cpu = (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
-  std::error_code ignored;
-  int descriptors = 0;
-  for (fs::directory_iterator it(proc / "fd", ignored), end; !ignored && it != end; it.increment(ignored)) {
-    ++descriptors;
-  }
-  double disk = 0;
-  for (fs::directory_iterator it(folder_of(relay) / "state", ignored), end; !ignored && it != end;
-       it.increment(ignored)) {
-    std::error_code vanished;
-    const auto bytes = it->is_regular_file(vanished) ? it->file_size(vanished) : 0;
-    if (!vanished) disk += static_cast<double>((bytes + 511) / 512 * 512);
-  }
-  const double memory = resident * static_cast<double>(::sysconf(_SC_PAGESIZE));
-  if (memory <= 0) return;  // a zombie
-  world_.figures.used(world_.now(), relay, std::max(0.0, cpu - r.cpu), memory, descriptors);
-  r.cpu = cpu;
-  world_.oracles.processes.measured(world_.now(), relay, memory, descriptors, disk);
+  const std::optional<Usage> usage = usage_of(r.pid);
+  if (!usage) return;
+  const double disk = disk_bytes(folder_of(relay) / "state");
+  const double now = world_.now();
+  world_.figures.used(now, relay, std::max(0.0, usage->cpu - r.cpu), usage->memory, usage->descriptors);
+  r.cpu = usage->cpu;
+  world_.oracles.processes.measured(now, relay, usage->memory, usage->descriptors, disk);
 }
 
 }  // namespace umberhoist::lab
