--- a/lab/play.cpp
+++ b/lab/play.cpp
@@ -7,10 +7,9 @@
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
-#include <thread>
 
 #include "clients.h"
-#include "policies.h"
+#include "strikes.h"
 #include "views.h"
 
 namespace umberhoist::lab {
@@ -65,6 +64,8 @@
       if (!scenario.fleet) throw Unusable("a fault changes the policy, but fleet is not true");
       policies_ = std::make_unique<Policies>(world_, *fleet_, options.folder);
     }
+    strikes_ = std::make_unique<Strikes>(
+        world_, Strikes::Parts{partners_, agents_, *fleet_, network_.get(), policies_.get()});
   }
 
   json run() {
@@ -95,7 +96,7 @@
     for (const Fault& fault : plan_.faults) {
       world_.after(fault.at, [this, &fault] {
         say(fault.text());
-        strike(fault);
+        strikes_->strike(fault);
       });
     }
     // Views are looked at after the start and after each fault; none counts while another is on.
@@ -125,65 +126,6 @@
     });
   }
 
-  void strike(const Fault& f) {
-    if (f.kind == "partner") {
-      for (const int p : f.targets) partner(p).trouble(f.state, f.factor, f.lasts);
-    } else if (f.kind == "limit") {
-      for (const int p : f.targets) {
-        partner(p).lower_limit(f.factor);
-        if (f.lasts > 0) world_.after(f.lasts, [this, p] { partner(p).lower_limit(1); });
-      }
-    } else if (f.kind == "drain") {
-      for (const int p : f.targets) drain(p);
-    } else if (f.kind == "policy") {
-      policies_->propose(f.targets, f.state == "aborted");
-    } else if (f.kind == "net") {
-      strike_network(f);
-    } else {
-      for (const int r : f.targets) strike_relay(f, r);
-    }
-  }
-
-  void strike_relay(const Fault& f, int r) {
-    if (f.kind == "kill") fleet_->kill(r, f.lasts, f.folder);
-    if (f.kind == "term") fleet_->term(r, f.lasts, f.folder);
-    if (f.kind == "stop") fleet_->pause(r, f.lasts);
-    if (f.kind == "disk") fleet_->fill_disk(r, f.lasts);
-    if (f.kind == "discovery") {
-      Discovery& agent = *agents_[static_cast<size_t>(r)];
-      agent.mute(true);
-      world_.after(f.lasts, [&agent] { agent.mute(false); });
-    }
-  }
-
-  void strike_network(const Fault& f) {
-    if (!network_) return;  // relays do not talk in this scenario
-    const bool cut = f.loss == 0 && f.delay == 0 && f.duplicate == 0 && f.reorder == 0;
-    if (cut) {
-      network_->cut(f.targets, f.one_way);
-    } else {
-      network_->disturb(f.targets, {f.loss, f.delay, f.duplicate, f.reorder, false});
-    }
-    world_.after(f.lasts, [this] { network_->heal(); });
-  }
-
-  // An endpoint is replaced: the new one is told soon, the drain later, the machine is gone after that.
-  void drain(int p) {
-    if (partner(p).replace_one().empty()) return;
-    tell(0.31, 4.3);
-    const double gone = scenario_.partners.drain_grace_s + 6;
-    world_.after(gone, [this, p] {
-      partner(p).remove_left();
-      tell(0.31, 1.8);
-    });
-  }
-
-  void tell(double soonest, double latest) {
-    for (const auto& agent : agents_) agent->changed(Range{soonest, latest}.draw(world_.chance));
-  }
-
-  Partner& partner(int p) { return *partners_[static_cast<size_t>(p)]; }
-
   void settle() {
     if (!clients_->idle() && world_.now() < scenario_.length_s + scenario_.settle_s) {
       return world_.after(0.1, [this] { settle(); });
@@ -199,53 +141,10 @@
   }
 
   void done() {
-    json oracles;
-    for (const auto& [name, state] : world_.oracles.states()) {
-      oracles[name] = {{"held", state.broken == 0},
-                       {"checked", state.checked},
-                       {"first_broken", state.broken == 0 ? json(nullptr) : json(state.first)}};
-      if (state.broken > 0) oracles[name]["broken"] = state.broken;
-    }
-    json faults = json::array();
-    for (const Fault& f : plan_.faults) {
-      faults.push_back({{"at", f.at}, {"until", f.at + f.lasts}, {"what", f.text()}});
-    }
-    result_ = world_.figures.result(end_);
-    result_["scenario"] = scenario_.name;
-    result_["what"] = scenario_.what;
-    result_["seed"] = options_.seed;
-    result_["relays"] = scenario_.relays;
-    result_["program"] = options_.program;
-    result_["length_s"] = scenario_.length_s;
-    result_["plan"] = std::to_string(plan_.digest());
-    result_["oracles"] = oracles;
-    result_["faults"] = faults;
-    result_["warnings"] = warnings();
+    result_ = result_of(world_, end_, options_.program);
     io_.stop();
   }
 
-  // From here on the machine is what is measured.
-  json warnings() const {
-    json out = json::array();
-    const json& f = result_["figures"];
-    const double lab = f["cpu_lab_cores"].get<double>();
-    const double all = lab + f["cpu_relays_cores"].get<double>();
-    const double cores = std::max(1u, std::thread::hardware_concurrency());
-    char text[160];
-    if (lab > 0.7) {
-      std::snprintf(text, sizeof text,
-                    "the lab itself used %.2f of its one core: times are the machine's, not the relays'",
-                    lab);
-      out.push_back(text);
-    }
-    if (all > 0.8 * cores) {
-      std::snprintf(text, sizeof text,
-                    "lab and relays used %.1f of %.0f cores: the machine is what is measured", all, cores);
-      out.push_back(text);
-    }
-    return out;
-  }
-
   const Scenario& scenario_;
   const PlayOptions& options_;
   boost::asio::io_context io_{1};
@@ -258,6 +157,7 @@
   std::unique_ptr<Clients> clients_;
   std::unique_ptr<Views> views_;
   std::unique_ptr<Policies> policies_;
+  std::unique_ptr<Strikes> strikes_;
   bool begun_ = false;
   bool over_ = false;
   bool interrupted_ = false;
@@ -287,12 +187,4 @@
   }
 }
 
-std::vector<std::string> broken(const json& result) {
-  std::vector<std::string> out;
-  for (const auto& [name, state] : result.at("oracles").items()) {
-    if (!state.at("held").get<bool>()) out.push_back(name);
-  }
-  return out;
-}
-
 }  // namespace umberhoist::lab
--- a/lab/play.h
+++ b/lab/play.h
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "result.h"
 #include "scenario.h"
 
 namespace umberhoist::lab {
@@ -17,8 +18,4 @@
 // result.json as the brief has it, with `faults` for the report. Throws Unusable where it cannot be played.
 nlohmann::json play(const Scenario& scenario, const PlayOptions& options);
 
-// The broken oracles' names.
-std::vector<std::string> broken(const nlohmann::json& result);
-inline bool all_held(const nlohmann::json& result) { return broken(result).empty(); }
-
 }  // namespace umberhoist::lab
