--- a/fleet/agreement.cpp
+++ b/fleet/agreement.cpp
@@ -13,7 +13,6 @@
 
 constexpr uint64_t kAgreementProtocol = 1;
 constexpr uint64_t kFormat = 1;  // of the file
-constexpr size_t kMostName = 64;
 constexpr size_t kMostSent = 32;
 constexpr size_t kMostWaiting = 32;  // names in a status
 constexpr size_t kAppendRest = 64 * 1024;
--- a/fleet/codec.h
+++ b/fleet/codec.h
@@ -10,11 +10,12 @@
 #include <variant>
 #include <vector>
 
+#include "machine.h"
+
 namespace umberhoist::fleet {
 
 constexpr size_t kMostDatagram = 1400;
 constexpr uint64_t kProtocol = 1;
-constexpr size_t kMostName = 64;
 constexpr uint64_t kMostIncarnation = uint64_t{1} << 48;  // one refutation a second for nine million years
 constexpr size_t kBuckets = 16;                           // of the view's digest
 
--- a/fleet/consensus.h
+++ b/fleet/consensus.h
@@ -118,6 +118,7 @@
   raft_message message_of(const nlohmann::json& from, std::string& address) const;
   nlohmann::json json_of(const raft_message& message) const;
   bool change(const std::function<int(raft_change*)>& begin);
+  static void changed(raft_change* request, int status);
 
   Settings settings_;
   Host& host_;
--- /dev/null
+++ b/fleet/consensus_messages.cpp
@@ -0,0 +1,102 @@
+// Between servers: C-Raft's messages as CBOR, the receiver's id in each.
+#include "consensus_parts.h"
+
+namespace umberhoist::fleet {
+
+using nlohmann::json;
+
+json Consensus::json_of(const raft_message& m) const {
+  json out = {settings_.id, settings_.name, m.type, m.server_id};
+  switch (m.type) {
+    case RAFT_IO_REQUEST_VOTE: {
+      const auto& v = m.request_vote;
+      out.insert(out.end(),
+                 {v.term, v.candidate_id, v.last_log_index, v.last_log_term, v.disrupt_leader, v.pre_vote});
+      break;
+    }
+    case RAFT_IO_REQUEST_VOTE_RESULT: {
+      const auto& v = m.request_vote_result;
+      out.insert(out.end(), {json(v.term), json(v.vote_granted), json(static_cast<unsigned>(v.pre_vote))});
+      break;
+    }
+    case RAFT_IO_APPEND_ENTRIES: {
+      const auto& v = m.append_entries;
+      json entries = json::array();
+      for (unsigned i = 0; i < v.n_entries; ++i) {
+        const raft_entry& e = v.entries[i];
+        entries.push_back(fleet::packed(Stored::Entry{e.term, e.type, std::string(view_of(e.buf))}));
+      }
+      out.insert(out.end(), {json(v.term), json(v.prev_log_index), json(v.prev_log_term),
+                             json(v.leader_commit), entries});
+      break;
+    }
+    case RAFT_IO_APPEND_ENTRIES_RESULT: {
+      const auto& v = m.append_entries_result;
+      out.insert(out.end(), {v.term, v.rejected, v.last_log_index});
+      break;
+    }
+    case RAFT_IO_INSTALL_SNAPSHOT: {
+      const auto& v = m.install_snapshot;
+      out.insert(out.end(),
+                 {json(v.term), json(v.last_index), json(v.last_term), fleet::packed(servers_of(v.conf)),
+                  json(v.conf_index), bytes_of(view_of(v.data))});
+      break;
+    }
+    default: {
+      const auto& v = m.timeout_now;
+      out.insert(out.end(), {v.term, v.last_log_index, v.last_log_term});
+    }
+  }
+  return out;
+}
+
+raft_message Consensus::message_of(const json& from, std::string& address) const {
+  raft_message m{};
+  m.server_id = number_of(at(from, 0));
+  address = text_of(at(from, 1), kMostName);
+  m.server_address = address.c_str();
+  m.type = static_cast<unsigned short>(number_of(at(from, 2)));
+  const auto number = [&](size_t i) { return number_of(at(from, 3 + i)); };
+  const auto flag = [&](size_t i) {
+    want(at(from, 3 + i).is_boolean());
+    return at(from, 3 + i).get<bool>();
+  };
+  // All that can be wrong is read before anything is handed over.
+  switch (m.type) {
+    case RAFT_IO_REQUEST_VOTE:
+      m.request_vote = {number(1), number(2), number(3), number(4), flag(5), flag(6)};
+      break;
+    case RAFT_IO_REQUEST_VOTE_RESULT:
+      want(number(3) <= raft_tribool_false);
+      m.request_vote_result = {number(1), flag(2), static_cast<raft_tribool>(number(3))};
+      break;
+    case RAFT_IO_APPEND_ENTRIES: {
+      m.append_entries = {number(1), number(2), number(3), number(4), nullptr, 0};
+      std::vector<Stored::Entry> entries;
+      want(at(from, 8).is_array());
+      for (const json& e : at(from, 8)) entries.push_back(entry_of(e));
+      m.append_entries.n_entries = static_cast<unsigned>(entries.size());
+      m.append_entries.entries = entries_of(entries);
+      break;
+    }
+    case RAFT_IO_APPEND_ENTRIES_RESULT:
+      m.append_entries_result = {number(1), number(2), number(3)};
+      break;
+    case RAFT_IO_INSTALL_SNAPSHOT: {
+      const auto servers = unpacked(at(from, 7));
+      const std::string bytes = bytes_in(at(from, 9));
+      m.install_snapshot = {number(1), number(2), number(3), {}, number(5), {}};
+      m.install_snapshot.conf = configuration_of(servers);
+      m.install_snapshot.data = buffer_of(bytes);
+      break;
+    }
+    case RAFT_IO_TIMEOUT_NOW:
+      m.timeout_now = {number(1), number(2), number(3)};
+      break;
+    default:
+      throw Bad{};
+  }
+  return m;
+}
+
+}  // namespace umberhoist::fleet
--- a/fleet/machine.h
+++ b/fleet/machine.h
@@ -23,6 +23,7 @@
 constexpr Time kMs = 1000;
 constexpr Time kSecond = 1'000'000;
 constexpr Time kNever = std::numeric_limits<Time>::max();
+constexpr size_t kMostName = 64;  // bytes of a member's name
 
 struct Datagram {
   std::string to;  // a member's name
