Split the agreement by what decides: messages, records, a relay, the leader, staff

Now: - agreement_messages: Renew, Grant and Founding, each packed and read in one place, read field after field without counted positions, so that one more field is one line in each. - leadership: a class of its own owns what the leader knows of each relay in its reign; lease_for() alone says how long a grant's lease is. - rate_check: whether two clocks go at one rate. - agreement_file, agreement_founding, agreement_relay, agreement_staff: the folder's records, the founding, a relay's part, staff's calls with the view; agreement.cpp has what goes in and out. The bytes of messages and of the file are as before, and so is the behaviour; the log is now destroyed before what it is applied to, and an unused member is gone.

--- a/fleet/agreement.h
+++ b/fleet/agreement.h
@@ -36,34 +36,19 @@
 #include <optional>
 #include <variant>
 
+#include "agreement_messages.h"
+#include "agreement_settings.h"
 #include "consensus.h"
+#include "leadership.h"
 #include "policy_log.h"
+#include "rate_check.h"
 
 namespace umberhoist::fleet {
 
-constexpr int64_t kDriftOne = 500;  // clocks' rates differ by at most 1 in this
-constexpr size_t kFileTexts = 20;
-constexpr size_t kFileRest = 100'000;
-constexpr size_t kMostMessage = kFileTexts * kMostPolicy + kFileRest;
-
 class Agreement : private Consensus::Host {
  public:
-  // Faults planted for the model checker.
-  enum class Plant { kNothing, kNoLeaseWait, kYesNotWritten, kLeaseKept };
-
-  struct Settings {
-    std::string cluster;
-    std::string name;                 // one of `names`
-    std::vector<std::string> names;   // of all relays
-    std::vector<std::string> voters;  // at the founding; an odd number of them
-    Time period = 500 * kMs;
-    Time term = 3000 * kMs;
-    std::string own;      // the policy of this relay's own file: version 1 where it leads first
-    std::string program;  // its version, for people
-    // Why a policy cannot be held here; empty where it can. A function of its argument and of the program.
-    std::function<std::string(const std::string& text)> check;
-    Plant plant = Plant::kNothing;
-  };
+  using Plant = AgreementPlant;
+  using Settings = AgreementSettings;
 
   struct Write {  // to the file: at its end, or all of it
     std::string bytes;
@@ -127,7 +112,7 @@
   std::optional<std::string> text_of_version(uint64_t version) const;
   // Why the file cannot be used; the door stays shut and nothing is said.
   const std::string& broken() const { return broken_; }
-  bool leads() const { return active(); }
+  bool leads() const { return leadership_ && leadership_->active(); }
   uint64_t unreadable() const { return unreadable_; }
   uint64_t fingerprint(Time now) const;
 
@@ -140,12 +125,6 @@
     std::string id;
     std::string text;
   };
-  struct Founding {
-    uint64_t id = 0;
-    std::vector<std::pair<std::string, uint64_t>> voters;  // with their folders' numbers
-    nlohmann::json record() const;
-    static Founding of(const nlohmann::json& record);  // throws Bad
-  };
   struct Ask {  // of this relay's staff, until the leader has it
     nlohmann::json body;
     std::string id;
@@ -154,21 +133,6 @@
     uint64_t told_stamp = 0;
     bool given_up = false;
   };
-  struct Renew;
-  struct Grant;
-  struct Peer {  // as the leader knows it, in this reign
-    Time heard = -1;
-    Time lease_until = 0;  // surely over after
-    uint64_t nonce = 0;
-    uint64_t echo = 0;  // it knew this reign after
-    uint64_t version = 0;
-    std::string cannot;
-    std::string yes;  // to which change
-    std::string no;
-    std::string why;
-    std::string told;  // of which change
-    Time told_at = 0;
-  };
 
   // Consensus::Host
   void record(nlohmann::json record) override;
@@ -178,16 +142,20 @@
   std::string state() const override { return log_.state(); }
   void restore(std::string_view state) override { log_.restore(state); }
 
+  // The folder's records.
   void load(std::string_view file);
   std::string whole_file() const;
+
   void send(const std::string& to, const char* kind, nlohmann::json body);
   void word(const char* event, std::string text) { out_.push_back(Word{event, std::move(text)}); }
   uint64_t own_id() const;
   uint64_t draw();  // a number that nobody else draws; above 0
-  void start_log(Time now, Consensus::Stored stored);
+  std::vector<std::string> contacts() const;
+
+  // The founding, and the log.
   void found(Time now);
   void founded(Time now, Founding founding);
-  std::vector<std::string> contacts() const;
+  void start_log(Time now, Consensus::Stored stored);
 
   // A relay's part.
   void renew(Time now);
@@ -195,24 +163,14 @@
   void granted(Time now, const Grant& grant);
   void consider(Time now, const Grant& grant);
   bool take_hold(Time now, const Grant& grant);
-  bool clocks_agree(Time sent, Time now, const Grant& grant);
+  void shut(const std::string& why);
+
+  // Staff's asks, and what came of them.
+  std::string begin_ask(Time now, const std::string& id, nlohmann::json body);
   void hear_outcomes(const Grant& grant);
   void settle_ask(const Grant& grant);
   void note(Outcome outcome);
   const Outcome* ended(const std::string& id) const;  // null: not that this relay knows
-  std::string begin_ask(Time now, const std::string& id, nlohmann::json body);
-  void shut(const std::string& why);
-
-  // A leader's part.
-  bool active() const;  // it leads, and its own reign is in the log that it has applied
-  void lead(Time now);
-  std::optional<Time> confirmed(Time now) const;
-  Grant answer(Time now, const Renew& renew);
-  void take_ask(Time now, const Renew& renew);
-  void judge(Time now);
-  void arrange_voters(Time now);
-  std::vector<std::pair<std::string, std::string>> waiting(Time now) const;
-  Time surely_over(Time lease) const { return lease + 2 * lease / kDriftOne; }
 
   Settings settings_;
   mutable pcg32 chance_;
@@ -231,8 +189,8 @@
   Consensus::Stored stored_;
   bool torn_ = false;
 
-  std::unique_ptr<Consensus> raft_;
   PolicyLog log_;
+  std::unique_ptr<Consensus> raft_;
 
   // A relay's part.
   uint64_t life_ = 0;
@@ -256,22 +214,11 @@
   std::deque<Outcome> outcomes_;
   uint64_t ended_ = 0;
   bool leaving_ = false;
-  struct Anchor {
-    uint64_t term = 0;
-    uint64_t stamp = 0;
-    Time sent = 0;
-    Time heard = 0;
-  } anchor_;
-  bool drifted_ = false;
+  RateCheck rates_;
 
   // A voter's part.
   std::map<std::string, std::pair<uint64_t, Time>> fresh_;  // before the founding: folders, and when heard
-  Time fresh_at_ = 0;
-  uint64_t reign_ = 0;  // the term in which it leads; 0: it does not
-  std::map<std::string, Peer> peers_;
-  std::string busy_;      // proposed in this reign, not committed yet
-  std::string deciding_;  // its decision or abort is
-  bool first_proposed_ = false;
+  std::optional<Leadership> leadership_;                    // as long as there is a log
 };
 
 }  // namespace umberhoist::fleet
--- a/fleet/consensus.h
+++ b/fleet/consensus.h
@@ -93,6 +93,7 @@
   void woke(Time now);
   Time next() const { return next_; }
 
+  uint64_t id() const { return settings_.id; }
   bool leads() const;
   uint64_t term() const { return raft_.current_term; }
   std::string leader() const;  // as far as it is known
