--- a/fleet/membership.h
+++ b/fleet/membership.h
@@ -95,6 +95,7 @@
   std::vector<Event> events() { return std::exchange(events_, {}); }
 
   const std::vector<std::string>& names() const { return *names_; }
+  const std::string& own_name() const { return settings_.name; }
   const Record* find(const std::string& name) const;
   size_t count(State state) const { return counts_[static_cast<size_t>(state)]; }
   size_t live() const { return count(State::kAlive) + count(State::kSuspect); }
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -174,6 +174,20 @@
            {{"peer", event.name}, {"by", event.by}});
 }
 
+std::vector<std::string> FleetLink::live_peers() const {
+  std::vector<std::string> out;
+  for (const std::string& name : view_.names()) {
+    if (name != view_.own_name() && gone_since(name) == 0) out.push_back(name);
+  }
+  return out;
+}
+
+Time FleetLink::gone_since(const std::string& name) const {
+  const auto* r = view_.find(name);
+  const bool gone = r != nullptr && (r->state == fleet::State::kDead || r->state == fleet::State::kLeft);
+  return gone ? std::max<Time>(1, r->since) : 0;
+}
+
 std::string FleetLink::members() const {
   std::string out = "OK\n";
   const Time now = steady_now();
--- a/relay/fleet_link.h
+++ b/relay/fleet_link.h
@@ -37,6 +37,12 @@
   PolicyLink& policy() { return *policy_; }
   const PolicyLink& policy() const { return *policy_; }
 
+  FleetWire& wire() { return policy_->wire(); }
+  // Of the other relays: those that the view shows alive; and since when one is not (0: it is, or never was
+  // seen).
+  std::vector<std::string> live_peers() const;
+  Time gone_since(const std::string& name) const;
+
   // The reply to FLEET: a line each member, then END.
   std::string members() const;
   // Lines of METRICS.
--- a/relay/fleet_wire.cpp
+++ b/relay/fleet_wire.cpp
@@ -92,6 +92,12 @@
   sent_bytes_ += size;
 }
 
+void FleetWire::heard(const std::string& from, std::string_view bytes) {
+  const auto channel = bytes.empty() ? channels_.end() : channels_.find(bytes.front());
+  if (channel == channels_.end()) return heard_(from, bytes);
+  channel->second(from, bytes.substr(1));
+}
+
 void FleetWire::retune(const FleetSettings& settings) {
   settings_ = settings;
   std::vector<std::shared_ptr<Link>> gone;
--- a/relay/fleet_wire.h
+++ b/relay/fleet_wire.h
@@ -6,6 +6,11 @@
 // does not read or answer is let go after kSilence periods and dialled anew. Bounds: kMostQueued bytes wait
 // for a peer (what comes after is dropped and counted), kMostUnnamed connections have not said who they are,
 // two are held for each peer, and a frame has at most `most_frame` bytes.
+//
+// Channels: parts of their own share the connections. A frame whose first byte is a channel that is listened
+// to goes there; all others go to the owner (theirs begin with CBOR's byte of a list, which is no letter).
+// Frames of a channel that nobody listens to are dropped by their reader: an older build, or one with the
+// part off.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -35,6 +40,12 @@
   ~FleetWire();
 
   void send(const std::string& to, std::string bytes);
+  // `channel`: a letter. Each message must be answered by some message, or the peer is taken for silent.
+  void send(const std::string& to, char channel, std::string_view bytes) {
+    send(to, channel + std::string(bytes));
+  }
+  void listen(char channel, Heard heard) { channels_[channel] = std::move(heard); }
+  void hush(char channel) { channels_.erase(channel); }
   // Of other peers; connections of those that are gone end.
   void retune(const FleetSettings& settings);
 
@@ -55,12 +66,14 @@
   Link* link_to(const std::string& peer);
   const FleetSettings::Peer* find(const std::string& peer) const;  // null: not configured
   void named(Link& link);
+  void heard(const std::string& from, std::string_view bytes);
 
   boost::asio::io_context& io_;
   FleetSettings settings_;
   std::string name_;
   size_t most_frame_;
   Heard heard_;
+  std::map<char, Heard> channels_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer pause_;
   std::list<std::shared_ptr<Link>> links_;  // the oldest first
--- a/relay/fleet_wire_link.cpp
+++ b/relay/fleet_wire_link.cpp
@@ -122,7 +122,7 @@
     timer_.cancel();
     owner_->named(*this);
   } else {
-    owner_->heard_(peer, in_);
+    owner_->heard(peer, in_);
   }
   if (owner_ != nullptr) read();
 }
--- a/relay/policy_link.h
+++ b/relay/policy_link.h
@@ -43,6 +43,7 @@
 
   std::string call(const std::string& rest);  // POLICY's
   std::string figures() const;
+  FleetWire& wire() { return wire_; }  // the relays' connections, for other parts' channels
 
   // The policy that the folder holds, where there is a fleet and it holds one.
   static std::optional<std::string> stored(const Config& config);
