--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -1,4 +1,6 @@
 // Settings from their text form. Nothing is decided here.
+#include "firspool/settings.h"
+
 #include <charconv>
 #include <cmath>
 #include <map>
@@ -7,8 +9,6 @@
 #include <string>
 #include <string_view>
 
-#include "firspool/policy.h"
-
 namespace firspool {
 namespace {
 
