--- /dev/null
+++ b/src/dispatch.h
@@ -0,0 +1,146 @@
+// Dispatch: which waiting messages go now, to which endpoint, and for how long an answer is waited for.
+#pragma once
+
+#include "admission.h"
+#include "connections.h"
+#include "limits.h"
+#include "messages.h"
+
+namespace firspool::detail {
+
+// Slot share: one destination's part of the slots while others wait, and how far long calls narrow it.
+constexpr double kSlotShare = 0.5;
+constexpr double kSlotShareLeast = 0.15;
+constexpr double kTimeoutTimes = 2;  // time-out of a repeatable message, in multiples of the suspicious age
+constexpr double kUnsafeTimes = 2;   // and of an unsafe one, for which a time-out ends all hope, of that
+constexpr double kSecondsPerPrice = 5;  // seconds of latency that a price of 1 a call is held against
+
+class Dispatch {
+ public:
+  Dispatch(State& state, const Messages& messages, Connections& connections, Admission& admission)
+      : s_(state), messages_(messages), connections_(connections), admission_(admission) {}
+
+  void send(std::vector<Candidate> waiting) {
+    // First within each destination's share; slots that no other waits for then go to anyone.
+    for (const bool bound : {true, false}) {
+      std::vector<Candidate> left;
+      for (const Candidate& c : waiting) {
+        Message& m = s_.messages.at(c.id);
+        if (m.out) continue;  // went along in another message's call
+        Destination& d = s_.destinations[m.destination];
+        if (static_cast<int>(s_.calls.size()) >= s_.set.slots) return free_slots();
+        if (bound && d.calls >= slot_share(d)) {
+          left.push_back(c);
+        } else {
+          try_send(m, d, waiting);
+        }
+      }
+      waiting = std::move(left);
+    }
+  }
+
+ private:
+  // The design's slot share, narrowed while calls run longer than is usual at this destination.
+  int slot_share(const Destination& d) const {
+    const double usual = d.usual.seen == 0 ? 1 : std::min(1.0, d.usual.mean / std::max(1e-6, d.latency.mean));
+    const double share = std::max(kSlotShareLeast, kSlotShare * usual);
+    return std::max(1, static_cast<int>(std::ceil(s_.set.slots * share)));
+  }
+
+  // Messages wait and no slot is free: stop waiting for overdue calls, once such calls proved lost, not slow.
+  // Guards against lost answers filling the slots; harms where a destination has only now become slow.
+  void free_slots() {
+    if (!s_.set.may_cancel || s_.hope > kHopeLeast) return;
+    for (auto& [id, attempt] : s_.attempts) {
+      const auto message = s_.messages.find(id.first);
+      if (attempt.cancelled || message == s_.messages.end()) continue;
+      const Time suspicious = s_.latency_of(s_.hosts[attempt.endpoint]).suspicious();
+      if (seconds(s_.now - attempt.sent) < patience(message->second) * seconds(suspicious)) continue;
+      attempt.cancelled = true;
+      s_.tell(Cancel{id.first, id.second});
+    }
+  }
+
+  void try_send(Message& m, Destination& d, const std::vector<Candidate>& waiting) {
+    if (m.repeat && d.tokens < kToken) return;
+    if (s_.closing - s_.now < s_.latency_of(d).suspicious()) return;
+    Host* host = choose(m, d);
+    if (host == nullptr || !admission_.may_scout(*host)) return;
+    Lane& l = *host->lane;
+    const Attempt call{host->member.endpoint, s_.now, ++last_call_, false, l.out(), connections_.open(*host)};
+    host->sent.add(s_.now);
+    ++host->calls;
+    ++d.calls;
+    admission_.charge(l);
+    send(m, d, *host, call);
+    if (call.scout) return;  // one message is scout enough
+    // What goes to one endpoint in one round may share a call: one slot, one place under the limit, one fate.
+    const auto kind = static_cast<size_t>(host->member.kind);
+    int room = kind < s_.set.kinds.size() ? s_.set.kinds[kind].batch - 1 : 0;
+    for (const Candidate& c : waiting) {
+      if (room <= 0) return;
+      Message& other = s_.messages.at(c.id);
+      if (other.out || other.destination != m.destination) continue;
+      if ((other.repeat && d.tokens < kToken) || !messages_.in_scope(other, host->member)) continue;
+      send(other, d, *host, call);
+      --room;
+    }
+  }
+
+  Host* choose(const Message& m, const Destination& d) {
+    Host* best = nullptr;
+    double best_cost = 0;
+    for (const auto& [endpoint, host] : d.hosts) {
+      if (!host->ready || !messages_.in_scope(m, host->member)) continue;
+      const Time at = admission_.admits(*host->lane);
+      if (at > s_.now) {
+        s_.wake(at);
+        continue;
+      }
+      const double cost = cost_of(*host);
+      if (best == nullptr || cost < best_cost) {
+        best = host;
+        best_cost = cost;
+      }
+    }
+    return best;
+  }
+
+  double cost_of(const Host& host) {
+    const Latency& latency = host.latency.seen > 0 ? host.latency : s_.latency_of(host);
+    // The other relays' calls are not seen, but they do as this one does: where all took the endpoint that
+    // looks best to each alone, the whole fleet would take the same.
+    const double others = std::max(0, s_.set.relays - kSeen) * host.sent.per_second(s_.now) * latency.mean;
+    double cost = latency.mean * (1 + 0.5 * (host.calls + others)) / std::max(0.1, host.lane->room);
+    if (host.member.zone != s_.set.zone) cost += kSecondsPerPrice * s_.set.price_cross_zone;
+    if (connections_.needs_new(host)) cost += kSecondsPerPrice * s_.set.price_handshake;
+    if (host.avoid_until > s_.now) cost += seconds(kAvoidMost);
+    return cost;
+  }
+
+  double patience(const Message& m) const { return m.rules->effect == Effect::kUnsafe ? kUnsafeTimes : 1; }
+
+  Time timeout_of(const Message& m, const Destination& d) {
+    // No call keeps its slot for the whole life of its message: lost answers would fill the slots one by one.
+    const double longest = std::max(1.0, kTimeoutTimes * seconds(s_.latency_of(d).suspicious()));
+    return std::min(m.due - s_.now, micros(patience(m) * longest));
+  }
+
+  void send(Message& m, Destination& d, const Host& host, const Attempt& attempt) {
+    host.lane->scouts += attempt.scout;
+    if (m.repeat) d.tokens -= kToken;
+    m.repeat = false;
+    m.out = true;
+    ++s_.calls[attempt.call];
+    s_.attempts[{m.id, m.attempts++}] = attempt;
+    s_.tell(Send{m.id, host.member.endpoint, timeout_of(m, d), messages_.last_start(m, d)});
+  }
+
+  State& s_;
+  const Messages& messages_;
+  Connections& connections_;
+  Admission& admission_;
+  uint64_t last_call_ = 0;
+};
+
+}  // namespace firspool::detail
--- /dev/null
+++ b/src/messages.h
@@ -0,0 +1,159 @@
+// Messages: what each is worth and until when, what its rules still allow, and whose turn it is.
+#pragma once
+
+#include "state.h"
+
+namespace firspool::detail {
+
+constexpr Time kPauseLeast = 20 * kMs;  // a repeat's random pause: long enough to leave the moment of failure
+constexpr double kUsualDevs = 2;  // hardly an answer comes by so many mean deviations sooner than is usual
+constexpr int kUsualSeen = 5;     // so many served calls tell how long one usually takes
+constexpr Time kWindowMargin = 50 * kMs;  // a call is under way for a while before its host looks at its key
+
+struct Candidate {
+  double loss;  // worth for each second of a slot, negated: the most comes first
+  Time target;
+  uint64_t id;
+  auto operator<=>(const Candidate&) const = default;
+};
+
+class Messages {
+ public:
+  explicit Messages(State& state) : s_(state) {}
+
+  void take(const Arrival& e) {
+    const bool known = e.message_class >= 0 && e.message_class < static_cast<int>(s_.rules.size());
+    if (!e.rules && !known) throw std::invalid_argument("unknown class of message " + std::to_string(e.id));
+    const auto [it, fresh] = s_.messages.try_emplace(e.id, Message{e});
+    if (!fresh) throw std::invalid_argument("message " + std::to_string(e.id) + " came twice");
+    Message& m = it->second;
+    if (!m.rules) m.rules = s_.rules[e.message_class];
+    m.target = e.due - m.rules->give_up + m.rules->target;
+    m.worth = m.rules->worth * tenant_share(e.tenant);
+    m.repeat = e.attempts > 0;
+    if (m.repeat && e.pause) pause(m);
+    m.resumed_ran = e.ran;
+    if (m.rules->in_order && e.key != 0) turns_[e.key].push_back(e.id);
+  }
+
+  // Nothing is owed for it any more, but while its call is out it keeps its turn.
+  void withdraw(uint64_t id) {
+    const auto it = s_.messages.find(id);
+    if (it == s_.messages.end()) return;
+    it->second.withdrawn = true;
+    if (!it->second.out) end(it->second);
+  }
+
+  void ended(const AttemptEnded& e, const Attempt& attempt, int zone) {
+    const auto found = s_.messages.find(e.id);
+    if (found == s_.messages.end()) return;
+    Message& m = found->second;
+    m.out = false;
+    const bool hanging =
+        e.outcome == Outcome::kTimeout || e.outcome == Outcome::kReset || e.outcome == Outcome::kCancelled;
+    if (m.rules->in_order && hanging) key_rests_[m.key] = {s_.now + s_.set.order_pause, e.id};
+    if (e.final || m.withdrawn) return end(m);
+    if (e.outcome == Outcome::kMoot) return;
+    m.repeat = true;
+    pause(m);
+    const bool unseen = e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed;
+    if (unseen || m.ran) return;
+    m.ran = true;
+    m.ran_sent = attempt.sent;
+    m.ran_zone = zone;
+  }
+
+  void end(const Message& m) {
+    if (m.rules->in_order && m.key != 0) {
+      std::erase(turns_[m.key], m.id);
+      if (turns_[m.key].empty()) turns_.erase(m.key);
+    }
+    s_.messages.erase(s_.messages.find(m.id));
+  }
+
+  bool refusable(const Message& m) const {
+    const ClassSettings& c = *m.rules;
+    if (c.effect == Effect::kSafe || !m.ran) return true;
+    if (m.resumed_ran) return false;  // its outcome is lost: a client's retry might outlast the key
+    return c.effect == Effect::kKeyed && c.key_scope == KeyScope::kAll;
+  }
+
+  bool may_repeat(const Message& m) const {
+    return m.attempts < m.rules->max_attempts && !(m.ran && m.rules->effect == Effect::kUnsafe);
+  }
+
+  // A keyed message that may have run stays with the endpoints that remember its key.
+  bool in_scope(const Message& m, const Member& member) const {
+    const ClassSettings& c = *m.rules;
+    if (!m.ran || c.effect != Effect::kKeyed) return true;
+    if (c.key_scope == KeyScope::kCell) return member.destination == m.destination;
+    return c.key_scope == KeyScope::kAll || member.zone == m.ran_zone;
+  }
+
+  // From then on too little is left for the usual answer, or the destination may have forgotten the key.
+  Time last_start(const Message& m, const Destination& d) const {
+    Time at = m.due - 2 * s_.set.tick;
+    const double soonest = std::max(0.0, d.usual.mean - kUsualDevs * d.usual.dev);
+    if (d.usual.seen >= kUsualSeen) at = std::min(at, m.due - micros(soonest));
+    if (!m.ran || m.rules->effect != Effect::kKeyed) return at;
+    return std::min(at, m.ran_sent + m.rules->key_window - s_.set.tick - kWindowMargin);
+  }
+
+  double worth_at(const Message& m, Time at) const {
+    const ClassSettings& c = *m.rules;
+    if (at <= m.target) return m.worth;
+    if (at >= m.due) return 0;
+    const double late = seconds(at - m.target);
+    if (s_.set.late_by_halves) return m.worth * std::max(c.late_worth, std::exp2(-late / seconds(c.target)));
+    return m.worth * (1 - (1 - c.late_worth) * late / std::max(1e-6, seconds(m.due - m.target)));
+  }
+
+  // Those that may go now, in the order in which they should.
+  std::vector<Candidate> waiting() {
+    std::erase_if(key_rests_, [this](const auto& rest) { return rest.second.first <= s_.now; });
+    std::vector<Candidate> list;
+    for (const auto& [id, m] : s_.messages) {
+      if (m.out) continue;
+      if (m.not_before > s_.now) {
+        s_.wake(m.not_before);
+        continue;
+      }
+      const auto d = s_.destinations.find(m.destination);
+      if (d == s_.destinations.end() || d->second.hosts.empty() || !has_turn(m)) continue;
+      const double latency = s_.latency_of(d->second).mean;
+      list.push_back({-worth_at(m, s_.now + micros(latency)) / std::max(0.01, latency), m.target, id});
+    }
+    std::sort(list.begin(), list.end());
+    return list;
+  }
+
+ private:
+  void pause(Message& m) { m.not_before = s_.now + s_.random.between(kPauseLeast, kPauseMost); }
+
+  // What a tenant sends beyond its quota is worth little; this relay's part of it is taken as an even one.
+  double tenant_share(int tenant) {
+    if (tenant < 0 || tenant >= static_cast<int>(s_.set.tenants.size())) return 1;
+    const double quota = s_.set.tenants[tenant].quota_per_s / s_.set.relays;
+    if (quota <= 0) return 1;
+    Pacer& pacer = s_.tenant_pacers.try_emplace(tenant, Pacer{2 * quota, s_.now}).first->second;
+    pacer.refill(s_.now, quota, std::max(1.0, 2 * quota));
+    if (pacer.tokens < 1) return s_.set.over_share_worth;
+    pacer.tokens -= 1;
+    return 1;
+  }
+
+  bool has_turn(const Message& m) {
+    if (!m.rules->in_order || m.key == 0) return true;
+    if (turns_[m.key].front() != m.id) return false;
+    const auto rest = key_rests_.find(m.key);
+    if (rest == key_rests_.end() || rest->second.second == m.id) return true;
+    s_.wake(rest->second.first);
+    return false;
+  }
+
+  State& s_;
+  std::map<uint64_t, std::vector<uint64_t>> turns_;          // of the messages of each key in order
+  std::map<uint64_t, std::pair<Time, uint64_t>> key_rests_;  // until then none but that message goes
+};
+
+}  // namespace firspool::detail
--- a/src/state.h
+++ b/src/state.h
@@ -1,87 +1,22 @@
-// What the module keeps of messages, hosts and destinations; policy.cpp decides with it.
+// What the module keeps of messages, hosts and destinations: shared by the parts that decide with it.
 #pragma once
 
-#include <algorithm>
-#include <cmath>
-#include <limits>
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <utility>
 
-#include "firspool/policy.h"
+#include "estimates.h"
+#include "firspool/actions.h"
 
 namespace firspool::detail {
 
-constexpr Time kMs = 1000;
-constexpr Time kSecond = 1000 * kMs;
-constexpr Time kNever = std::numeric_limits<Time>::max();
-
 // Retry bucket: a served call earns a tenth, so repeats stay under a tenth when failures are common.
 constexpr int kToken = 10;               // in parts; a served call earns one
 constexpr int kBucketCap = 10 * kToken;  // full at the start: short troubles are ridden out by N retries
 
-constexpr double kGain = 0.15;             // weight of a new latency or failure sample
-constexpr Time kFirstLatency = 400 * kMs;  // assumed before anything was measured
-constexpr double kSlowDevs = 6;         // a call older than mean + this many deviations is suspiciously slow
-constexpr Time kSlowLeast = 700 * kMs;  // and at least this old
-constexpr Time kRateMemory = 10 * kSecond;  // memory of the own served rate
-
-inline double seconds(Time t) { return static_cast<double>(t) / 1e6; }
-inline Time micros(double s) { return static_cast<Time>(std::ceil(std::min(s, 1e9) * 1e6)); }
-
-class Random {  // splitmix64: the same numbers everywhere
- public:
-  explicit Random(uint64_t seed) : state_(seed) {}
-  Time between(Time low, Time high) {
-    uint64_t z = (state_ += 0x9e3779b97f4a7c15u);
-    z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9u;
-    z = (z ^ (z >> 27)) * 0x94d049bb133111ebu;
-    return low + static_cast<Time>((z ^ (z >> 31)) % static_cast<uint64_t>(high - low + 1));
-  }
-
- private:
-  uint64_t state_;
-};
-
-// Mean and mean deviation of the time that served calls take, in seconds.
-struct Latency {
-  double mean = seconds(kFirstLatency);
-  double dev = seconds(kFirstLatency) / 2;
-  int seen = 0;
-
-  void add(double took) {
-    const double gain = std::max(kGain, 1.0 / ++seen);
-    dev += gain * (std::abs(took - mean) - dev);
-    mean += gain * (took - mean);
-  }
-  Time suspicious() const { return std::max(kSlowLeast, micros(mean + kSlowDevs * dev)); }
-};
-
-// A rate that forgets: events a second over about the last kRateMemory.
-struct Rate {
-  double rate = 0;
-  Time at = 0;
-
-  double per_second(Time now) const { return rate * std::exp(-seconds(now - at) / seconds(kRateMemory)); }
-  void add(Time now) {
-    rate = per_second(now) + 1 / seconds(kRateMemory);
-    at = now;
-  }
-};
-
-// Tokens that refill with time; used to pace sends.
-struct Pacer {
-  double tokens = 0;
-  Time at = 0;
-
-  void refill(Time now, double rate, double burst) {
-    tokens = std::min(burst, tokens + rate * seconds(now - at));
-    at = now;
-  }
-  Time ready(Time now, double rate) const {
-    return tokens >= 1 ? now : now + std::max<Time>(1, micros((1 - tokens) / std::max(rate, 1e-6)));
-  }
-};
+constexpr Time kPauseMost = 250 * kMs;  // of the random pauses that keep relays and repeats out of step
+constexpr double kHopeLeast = 0.35;     // a smaller share than this is not waited for when slots are short
 
 struct Attempt {
   Endpoint endpoint;
@@ -92,18 +27,12 @@
   Time idle = 0;       // how long its connection had been idle; 0: fresh or busy
 };
 
-struct Message {
-  Arrival in;
-  std::shared_ptr<const MessageRules> rules;
-  Time target = 0;  // until then it earns its full worth
+struct Message : Arrival {  // its attempts, and whether one may have run, are counted on from its arrival
+  Time target = 0;          // until then it earns its full worth
   double worth = 0;
-  int attempts = 0;
   bool out = false;
   bool repeat = false;  // the next send pays a token
   bool withdrawn = false;
-  bool ran = false;   // an attempt may have run
-  Time ran_sent = 0;  // when the first such attempt was sent
-  int ran_zone = 0;
   bool resumed_ran = false;  // it may have run before a restart
   Time not_before = 0;
 };
@@ -126,6 +55,7 @@
   bool bound = false;      // a message waited for the pace since the last served call
   int streak = 0;          // calls in a row that were not served
   int unconnected = 0;     // calls that got no connection since one was served
+  int overdue = 0;         // calls out past the suspicious age, with nothing served since
   int hard = 0;            // the last of these that were failures; a refusal between shows that it lives
   Time streak_since = 0;   // when the first that no limit explains was sent
   Time hard_since = 0;     // and the first of those failures
@@ -139,6 +69,8 @@
   bool probe_out = false;
   bool probe_ok = false;
   Rate served;
+
+  bool out() const { return out_since != 0 && back_since == 0; }
 };
 
 struct Host {
@@ -172,4 +104,56 @@
   Latency latency;
 };
 
+// What all parts share. In a step each reads the time here, and says here what is done and when to come back.
+struct State {
+  State(const Settings& settings, uint64_t seed) : random(seed) { retune(settings); }
+
+  // Numbers of tenants and kinds are positions: where those shift, what is kept by number starts anew. The
+  // caller tells the list again after this, so hosts get their kinds by name.
+  void retune(const Settings& next) {
+    if (next.classes.empty()) throw std::invalid_argument("settings hold no class");
+    const auto same = [](const auto& a, const auto& b) { return a.name == b.name; };
+    if (!std::ranges::equal(set.tenants, next.tenants, same)) tenant_pacers.clear();
+    if (!std::ranges::equal(set.kinds, next.kinds, same)) kinds.clear();
+    set = next;
+    rules = message_rules(set);
+    longest = kSecond;
+    for (const ClassSettings& c : set.classes) longest = std::max(longest, c.give_up);
+  }
+
+  void tell(Action action) { out->push_back(std::move(action)); }
+  void wake(Time at) {
+    if (at > now) wake_at = std::min(wake_at, at);
+  }
+
+  Lane& lane(const LaneKey& key) {
+    Lane& l = lanes[key];
+    l.key = key;
+    return l;
+  }
+  const Latency& latency_of(const Destination& d) {
+    return d.latency.seen > 0 ? d.latency : kinds[d.kind].latency;
+  }
+  const Latency& latency_of(const Host& host) { return latency_of(destinations[host.member.destination]); }
+
+  Settings set;
+  std::vector<std::shared_ptr<const MessageRules>> rules;  // of new messages, by class
+  Random random;
+  Time now = std::numeric_limits<Time>::min();
+  Time started = kNever;  // when the first step was
+  std::vector<Action>* out = nullptr;
+  Time wake_at = kNever;
+  Time closing = kNever;         // when this process ends
+  Time longest = kSecond;        // life of the longest-lived class
+  double hope = 2 * kHopeLeast;  // share of the calls past the suspicious age that are served after all
+  std::map<int, Kind> kinds;
+  std::map<int, Pacer> tenant_pacers;
+  std::map<uint64_t, Message> messages;
+  std::map<std::pair<uint64_t, int>, Attempt> attempts;
+  std::map<uint64_t, int> calls;  // calls out, with their messages that have no outcome yet
+  std::map<Endpoint, Host> hosts;
+  std::map<int, Destination> destinations;
+  std::map<LaneKey, Lane> lanes;
+};
+
 }  // namespace firspool::detail
