Lab: oracles of budgets, access rules, hits and feeds; subscribers; scenarios of the three parts

Cause: the three parts that relays share need judges from outside. Change: budget_kept, rules_kept, hits_exact and feed_exact, each a class of its own and pure; a subscriber stand-in; zones, rules, quotas and feeds in a scenario and in the relays' configuration; faults join, leave, resubscribe and policies that change rules or remove a customer.

--- a/lab/clients.cpp
+++ b/lab/clients.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include "rule_plan.h"
+
 namespace umberhoist::lab {
 namespace {
 
@@ -48,7 +50,10 @@
   }
 }
 
-void Clients::start() { arrive(); }
+void Clients::start() {
+  for (size_t r = 0; r < alive_.size(); ++r) alive_[r] = fleet_.serving(static_cast<int>(r));
+  arrive();
+}
 
 void Clients::arrive() {
   const auto& planned = world_.plan.messages;
@@ -97,9 +102,7 @@
   const Effect effect = effect_of(c.effect);
   const std::string key = effect == Effect::kKeyed ? message.key : "";
   std::string facts = "c=" + c.name;
-  if (!world_.scenario.tenants.empty()) {
-    facts += ",t=" + world_.scenario.tenants[static_cast<size_t>(planned.tenant)].name;
-  }
+  facts += ",t=" + world_.scenario.tenants[static_cast<size_t>(planned.tenant)].name;
   facts += ",d=" + std::to_string(static_cast<int64_t>((due - now) * 1000));
   if (!key.empty()) facts += ",k=" + key;
   facts += ",dest=" + std::to_string(planned.destination);
@@ -117,6 +120,10 @@
   hand.body = XXH64(body.data(), body.size(), 0);
   hand.key = key;
   world_.oracles.handed_in(one->id, std::move(hand));
+  const Scenario& s = world_.scenario;
+  world_.parts.handed_in(now, one->id, relay,
+                         {s.tenants[static_cast<size_t>(planned.tenant)].name, c.name, planned.destination,
+                          zone_name(s.zone_of(relay))});
   tries_[one->id] = one;
   if (refused || silent) ++message.tries;
   send(one, false);
@@ -140,6 +147,7 @@
       // The close crossed the request: it goes once more, on a new connection.
       if (kept && !one->resent && fleet_.serving(one->relay)) {
         one->resent = true;
+        world_.parts.sent_again(one->id);
         return send(one, true);
       }
       const bool left = messages_[one->message].over;
@@ -160,6 +168,7 @@
 
 void Clients::heard(const std::shared_ptr<Try>& one, const std::string& line) {
   const double now = world_.now();
+  world_.parts.answered(now, one->id, line);
   if (line.front() == '+' || line.front() == '$') {
     one->taken = true;
     world_.oracles.answered(now, one->id, Answer::kTaken);
--- a/lab/discovery.cpp
+++ b/lab/discovery.cpp
@@ -95,7 +95,9 @@
       const json notice = json::parse(body.substr(from, to - from), nullptr, false);
       if (!notice.is_object() || !notice.contains("id")) continue;
       const std::string id = notice["id"].get<std::string>();
-      const bool returned = notice.value("state", "") == "returned";
+      const std::string state = notice.value("state", "");
+      const bool returned = state == "returned";
+      world_.parts.noticed(world_.now(), id, state);
       if (world_.oracles.notice(world_.now(), id)) {
         world_.noticed(id, returned, notice.value("after_ms", 0.0) / 1000);
       }
@@ -152,8 +154,8 @@
     for (const auto& e : partner->listed()) {
       members.push_back({{"id", e.id},
                          {"host_port", e.address},
-                         {"locality", "lj-dc1"},
-                         {"flavor", partner->large() ? "principal" : "agent"},
+                         {"locality", e.zone},
+                         {"flavor", partner->kind()},
                          {"cell", partner->number()},
                          {"phase", e.phase},
                          {"size", partner->limit()},
--- a/lab/fault.cpp
+++ b/lab/fault.cpp
@@ -21,15 +21,24 @@
   return out;
 }
 
+// Relays that come later, and that leave for good, are the last ones: voters are the first.
+std::vector<int> last(const FaultSpec& spec, int relays, Chance& chance) {
+  const int count = std::clamp(static_cast<int>(std::floor(spec.count.draw(chance) + 0.5)), 1, relays);
+  std::vector<int> out(static_cast<size_t>(count));
+  std::iota(out.begin(), out.end(), relays - count);
+  return out;
+}
+
 }  // namespace
 
 void read(TableReader& in, FaultSpec& out) {
   in.text("kind", out.kind,
           {"kill", "term", "stop", "roll", "partner", "limit", "drain", "discovery", "surge", "hot", "net",
-           "disk", "policy"});
+           "disk", "policy", "resubscribe", "join", "leave"});
   if (out.kind.empty()) throw Unusable("a fault has no kind");
   in.text("state", out.state,
-          {"down", "silent", "hung", "slow", "lossy", "errors", "shut", "mute", "late", "aborted"});
+          {"down", "silent", "hung", "slow", "lossy", "errors", "shut", "mute", "late", "aborted", "rules",
+           "customer"});
   in.text("folder", out.folder, {"kept", "emptied", "torn"});
   in.text("direction", out.direction, {"both", "one"});
   in.range("at_s", out.at_s);
@@ -91,7 +100,13 @@
     f.duplicate = spec.duplicate.draw(chance);
     f.reorder = spec.reorder.draw(chance);
     f.one_way = spec.direction == "one";
-    if (f.kind != "surge") f.targets = pick(spec, f.of_partners() ? partners : relays, chance);
+    if (f.kind == "join" || f.kind == "leave") {
+      f.targets = last(spec, relays, chance);
+    } else if (f.kind == "resubscribe") {
+      f.factor = spec.share.draw(chance);
+    } else if (f.kind != "surge") {
+      f.targets = pick(spec, f.of_partners() ? partners : relays, chance);
+    }
     if (f.kind != "roll") {
       out.push_back(f);
       continue;
--- a/lab/fault.h
+++ b/lab/fault.h
@@ -14,8 +14,8 @@
 // What a fault does and to how many; which ones, the seed draws.
 struct FaultSpec {
   std::string kind;
-  std::string
-      state;  // partner: down silent hung slow lossy errors shut; discovery: mute late; policy: aborted
+  std::string state;  // partner: down silent hung slow lossy errors shut; discovery: mute late; policy:
+                      // aborted rules (some customers' are drawn anew) customer (one is removed)
   std::string folder = "kept";  // kill, term, roll: kept emptied torn
   Range at_s = {0, 0};
   Range for_s = {0, 0};
--- a/lab/figures.cpp
+++ b/lab/figures.cpp
@@ -159,6 +159,7 @@
     figures["policy_mix_s_longest"] = policy_mix_;
     figures["policy_taken_s_slowest"] = policy_slowest_;
   }
+  for (const auto& [name, value] : more_) figures[name] = value;
   double slowest = 0;
   for (size_t i = 0; i < plan_.faults.size(); ++i) {
     const double took = recovered(plan_.faults[i], length);
--- a/lab/figures.h
+++ b/lab/figures.h
@@ -41,6 +41,7 @@
     policy_slowest_ = slowest;
     policy_in_force_ = in_force;
   }
+  void add(const std::string& name, double value) { more_[name] = value; }  // of a part of its own
   void policy_turned_down() { ++policy_turned_down_; }
   void lab_used(double share_of_core) { lab_cpu_ = share_of_core; }
 
@@ -86,6 +87,7 @@
   double policy_slowest_ = -1;
   int policy_in_force_ = -1;  // -1: none was changed
   int policy_turned_down_ = 0;
+  std::map<std::string, double> more_;
   std::vector<std::pair<double, double>> memory_series_;
   using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
   decltype(boost::histogram::make_histogram(Axis(120, 1e-3, 1e2))) latency_;
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -57,12 +57,26 @@
   for (int i = 0; i < static_cast<int>(relays_.size()); ++i) {
     fs::create_directories(folder_of(i) / "state");
     std::ofstream(folder_of(i) / "config.json") << config_of(i).dump(1);
-    launch(i);
+    if (joins_later(i)) {
+      world_.parts.serving(0, i, false);
+    } else {
+      launch(i);
+    }
   }
   reap();
   measure();
 }
 
+bool Fleet::joins_later(int relay) const {
+  return std::ranges::any_of(world_.plan.faults, [&](const Fault& f) {
+    return f.kind == "join" && std::ranges::find(f.targets, relay) != f.targets.end();
+  });
+}
+
+void Fleet::join(int relay) {
+  if (!of(relay).there && !ending_) launch(relay);
+}
+
 void Fleet::launch(int relay) {
   Relay& r = of(relay);
   const fs::path folder = folder_of(relay);
@@ -74,6 +88,7 @@
   r.pid = r.group = start_process(program);
   r.state = State::kStarting;
   r.started = world_.now();
+  r.there = true;
   r.term_at = -1;
   r.cpu = 0;
   probe(relay);
@@ -106,9 +121,10 @@
                                     const double now = world_.now();
                                     world_.oracles.started(now, relay, now - r.started);
                                     world_.oracles.ready(now, relay);
+                                    world_.parts.serving(now, relay, true);
                                     if (up) up(relay);
                                     if (!playing_ && std::ranges::all_of(relays_, [](const Relay& x) {
-                                          return x.state == State::kUp;
+                                          return x.state == State::kUp || !x.there;
                                         })) {
                                       playing_ = true;
                                       all_ready_();
@@ -168,6 +184,7 @@
     world_.oracles.processes.ended(now, relay, r.term_at >= 0, code, r.term_at >= 0 ? now - r.term_at : 0);
     if (r.term_at < 0 && !ending_) {  // by itself: the platform starts it again
       world_.oracles.down(now, relay);
+      world_.parts.serving(now, relay, false);
       if (went) went(relay);
       r.again = 0;
       r.folder = "kept";
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -19,7 +19,8 @@
   ~Fleet();  // ends what runs
   Fleet(const Fleet&) = delete;
 
-  // Starts all; calls back once all serve. Throws Unusable where the program cannot be started.
+  // Starts all but those that join later; calls back once these serve. Throws Unusable where the program
+  // cannot be started.
   void start(std::function<void()> ready);
 
   // A relay's configuration, with the marker class of a generation of the policy where these are played.
@@ -33,6 +34,7 @@
   bool serving(int relay) const { return relays_.at(static_cast<size_t>(relay)).state == State::kUp; }
   bool away(int relay) const { return !serving(relay); }
 
+  void join(int relay);  // starts one that was not there from the start
   void kill(int relay, double down_s, const std::string& folder);
   void term(int relay, double down_s, const std::string& folder);  // SIGKILL follows if it does not end
   void pause(int relay, double lasts);                             // SIGSTOP, SIGCONT
@@ -55,6 +57,7 @@
     tcp::endpoint listen;
     tcp::endpoint second;  // the operators'
     std::string program;
+    bool there = false;  // it was started once
     double started = 0;
     double term_at = -1;          // SIGTERM was sent
     double again = -1;            // starts again so long after its end; -1: not
@@ -63,6 +66,7 @@
   };
 
   std::filesystem::path folder_of(int relay) const;
+  bool joins_later(int relay) const;
   void launch(int relay);
   void probe(int relay);
   bool open(int relay) const;
--- a/lab/fleet_config.cpp
+++ b/lab/fleet_config.cpp
@@ -6,6 +6,7 @@
 
 #include "fleet.h"
 #include "policies.h"
+#include "rule_plan.h"
 
 namespace umberhoist::lab {
 
@@ -13,8 +14,26 @@
 
 namespace {
 
-json relay_settings(const Scenario& s, int relay, int generation) {
-  json classes = json::array(), tenants = json::array();
+// As a generation of the policy has them.
+json customers(const Scenario& s, const PolicyText& policy) {
+  json out = json::array();
+  for (const TenantSpec& t : s.customers()) {
+    if (policy.removed.contains(t.name)) continue;
+    json one = {{"name", t.name}, {"quota_per_s", t.quota_per_s}};
+    const auto access = policy.access.find(t.name);
+    if (access != policy.access.end()) one["access"] = access_section(access->second);
+    for (int i = 0; s.feeds.on && i < s.feeds.subscriptions; ++i) {
+      json feed = {{"name", feed_name(i)}};
+      if (!s.regions_of(i).empty()) feed["regions"] = s.regions_of(i);
+      one["feeds"].push_back(feed);
+    }
+    out.push_back(one);
+  }
+  return out;
+}
+
+json relay_settings(const Scenario& s, const PolicyText& policy, int relay, int generation) {
+  json classes = json::array(), zones = json::array();
   for (const ClassSpec& c : s.classes) {
     classes.push_back({{"name", c.name},
                        {"semantics", c.effect},
@@ -26,16 +45,16 @@
                        {"late_worth", c.late_worth}});
   }
   if (s.changes_policy()) classes.push_back(marker_class(generation));
-  for (const TenantSpec& t : s.tenants) tenants.push_back({{"name", t.name}, {"quota_per_s", 0.0}});
+  for (int z = 0; z < s.zones(); ++z) zones.push_back(zone_name(z));
   const double part = s.load.rate / s.relays;
   const double pace = (s.partners.pace_s.low + s.partners.pace_s.high) / 2;
-  return {{"azs", {"lj-dc1"}},
+  return {{"azs", zones},
           {"kinds", {"principal", "agent"}},
           {"categories", classes},
-          {"realms", tenants},
+          {"realms", customers(s, policy)},
           {"me", relay},
           {"siblings", s.relays},
-          {"zone", 0},
+          {"zone", s.zone_of(relay)},
           {"family_info",
            {{"calls_out", std::max(4, static_cast<int>(std::ceil(s.relay.slots_factor * part * pace)))},
             {"kind_apart", {false, false}},
@@ -75,19 +94,28 @@
   std::snprintf(
       seed, sizeof seed, "%016llx",
       static_cast<unsigned long long>(pcg64(world_.plan.seed, 77 + static_cast<uint64_t>(relay))()));
-  json out = {{"name", "n" + std::to_string(relay)},
-              {"listen", text_of(address(relay))},
-              {"discovery", agents_.at(static_cast<size_t>(relay))->address()},
-              {"seed", seed},
-              {"limits",
-               {{"cores", 1.0},
-                {"memory_mb", s.relay.memory_mb},
-                {"sockets", s.relay.sockets},
-                {"disk_mb", s.relay.disk_mb}}},
-              {"known", agents_.at(static_cast<size_t>(relay))->known()},
-              {"settings", relay_settings(s, relay, generation)}};
+  json out = {
+      {"name", "n" + std::to_string(relay)},
+      {"listen", text_of(address(relay))},
+      {"discovery", agents_.at(static_cast<size_t>(relay))->address()},
+      {"seed", seed},
+      {"limits",
+       {{"cores", 1.0},
+        {"memory_mb", s.relay.memory_mb},
+        {"sockets", s.relay.sockets},
+        {"disk_mb", s.relay.disk_mb}}},
+      {"known", agents_.at(static_cast<size_t>(relay))->known()},
+      {"settings", relay_settings(s, world_.parts.book.generations.at(generation), relay, generation)}};
   if (network_ != nullptr) {
     out["fleet"] = network_->section(relay);
+    if (s.budgets.on)
+      out["fleet"]["budgets"] = {{"floor", s.budgets.floor}, {"burst_ms", s.budgets.burst_ms}};
+    if (s.feeds.on) {
+      out["feeds"] = {{"age_s", s.feeds.age_s},
+                      {"disk_share", s.feeds.disk_share},
+                      {"batch", s.feeds.batch},
+                      {"catch_up_per_s", s.feeds.catch_up_per_s}};
+    }
     out["operator"] = text_of(relays_.at(static_cast<size_t>(relay)).second);
   }
   return out;
--- a/lab/fleet_faults.cpp
+++ b/lab/fleet_faults.cpp
@@ -15,6 +15,7 @@
   Relay& r = of(relay);
   if (r.pid <= 0 || r.state == State::kDown || r.state == State::kEnding) return;
   world_.oracles.down(world_.now(), relay);
+  world_.parts.serving(world_.now(), relay, false);
   r.state = State::kDown;
   r.again = down_s;
   r.folder = folder;
@@ -26,6 +27,7 @@
   Relay& r = of(relay);
   if (r.state != State::kUp) return;
   world_.oracles.down(world_.now(), relay);
+  world_.parts.serving(world_.now(), relay, false);
   r.state = State::kEnding;
   r.term_at = world_.now();
   r.again = down_s;
@@ -38,6 +40,7 @@
   Relay& r = of(relay);
   if (r.state != State::kUp) return;
   world_.oracles.down(world_.now(), relay);
+  world_.parts.serving(world_.now(), relay, false);
   r.state = State::kStopped;
   if (went) went(relay);
   ::kill(r.pid, SIGSTOP);
@@ -47,6 +50,7 @@
     ::kill(pid, SIGCONT);
     woken.state = State::kUp;
     world_.oracles.ready(world_.now(), relay);
+    world_.parts.serving(world_.now(), relay, true);
     if (up) up(relay);
   });
 }
@@ -72,6 +76,7 @@
     fs::remove_all(state);
     fs::create_directories(state);
     world_.oracles.emptied(relay);
+    world_.parts.emptied(world_.now(), relay);
     if (lost) lost(relay);
   } else if (how == "torn") {
     // A last write that came through in part only: the first bytes of what the file held before, cut short.
--- a/lab/partner.cpp
+++ b/lab/partner.cpp
@@ -20,6 +20,7 @@
   for (int i = 0; i < spec_.endpoints; ++i) {
     endpoints_.push_back(
         std::make_shared<Endpoint>(*this, "s-" + std::to_string(number) + "-" + std::to_string(made_++)));
+    endpoints_.back()->zone = zone_name((number + i) % world.scenario.zones());
   }
 }
 
@@ -27,10 +28,15 @@
 
 std::vector<Partner::Listed> Partner::listed() const {
   std::vector<Listed> out;
-  for (const auto& e : endpoints_) out.push_back({e->id, text_of(e->address), e->phase});
+  for (const auto& e : endpoints_) out.push_back({e->id, text_of(e->address), e->phase, e->zone});
   return out;
 }
 
+void Partner::lower_limit(double factor) {
+  limit_factor_ = factor;
+  world_.parts.limit(world_.now(), number_, limit_now());
+}
+
 void Partner::refill() {
   const double now = world_.now();
   const double most = std::max(1.0, limit_now() * kBurst);
@@ -146,9 +152,10 @@
     if (e->phase != "active") continue;
     e->phase = "leaving";
     ++changes_;
-    const std::string old = e->id;
+    const std::string old = e->id, zone = e->zone;
     endpoints_.push_back(
         std::make_shared<Endpoint>(*this, "s-" + std::to_string(number_) + "-" + std::to_string(made_++)));
+    endpoints_.back()->zone = zone;
     if (state_ == State::kDown || fallen_) endpoints_.back()->shut(false);
     return old;
   }
--- a/lab/partner.h
+++ b/lab/partner.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <set>
 
+#include "rule_plan.h"
 #include "world.h"
 
 namespace umberhoist::lab {
@@ -31,15 +32,17 @@
     std::string id;
     std::string address;
     std::string phase;
+    std::string zone;
   };
   std::vector<Listed> listed() const;
   int number() const { return number_; }
   int changes() const { return changes_; }  // of its list, so far; grows with each
   bool large() const { return spec_.large; }
   double limit() const { return spec_.limit; }
+  const char* kind() const { return kKinds[spec_.large ? 0 : 1]; }
 
   void trouble(const std::string& state, double factor, double lasts);
-  void lower_limit(double factor) { limit_factor_ = factor; }
+  void lower_limit(double factor);
   // One endpoint is replaced: a new one joins, the old one is leaving, and later gone. Returns the old one's
   // id.
   std::string replace_one();
--- a/lab/partner_endpoint.h
+++ b/lab/partner_endpoint.h
@@ -25,6 +25,7 @@
 
   std::string id;
   std::string phase = "active";
+  std::string zone;
   tcp::endpoint address;
 
  private:
--- a/lab/partner_session.cpp
+++ b/lab/partner_session.cpp
@@ -73,6 +73,7 @@
     return answer("400 Bad Request", "", Oracles::Ran::kNever, 0);
   }
   id_ = id;
+  world_.parts.call(first_, now, id, hand->relay, owner.number_, endpoint_->zone, owner.kind());
   world_.figures.call(now, owner.number_, hand->relay, outage(owner.state_) || owner.fallen_);
   watch();
   owner.arrived(hand->relay);
@@ -123,7 +124,10 @@
     return close(false);
   }
   if (!id.empty()) world_.oracles.call_answered(world_.now(), id, ran, told);
-  if (ran == Oracles::Ran::kDelivered) world_.delivered(id);
+  if (ran == Oracles::Ran::kDelivered) {
+    world_.parts.delivered(world_.now(), id);
+    world_.delivered(id);
+  }
   boost::asio::post(world_.io, [self = shared_from_this()] {
     if (self->endpoint_ != nullptr) self->next();
   });
--- a/lab/play.cpp
+++ b/lab/play.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 
 #include "clients.h"
+#include "hit_samples.h"
 #include "strikes.h"
 #include "views.h"
 
@@ -64,8 +65,10 @@
       if (!scenario.fleet) throw Unusable("a fault changes the policy, but fleet is not true");
       policies_ = std::make_unique<Policies>(world_, *fleet_, options.folder);
     }
-    strikes_ = std::make_unique<Strikes>(
-        world_, Strikes::Parts{partners_, agents_, *fleet_, network_.get(), policies_.get()});
+    if (scenario.feeds.on) subscribers_ = std::make_unique<Subscribers>(world_, *fleet_, *world_.parts.feeds);
+    if (scenario.access.on) hits_ = std::make_unique<HitSamples>(world_, *fleet_);
+    strikes_ = std::make_unique<Strikes>(world_, Strikes::Parts{partners_, agents_, *fleet_, network_.get(),
+                                                                policies_.get(), subscribers_.get()});
   }
 
   json run() {
@@ -113,6 +116,8 @@
     }
     clients_->start();
     if (policies_) policies_->start();
+    if (subscribers_) subscribers_->start();
+    if (hits_) hits_->start();
     progress();
     world_.after(scenario_.length_s, [this] { settle(); });
   }
@@ -136,6 +141,27 @@
     if (views_) views_->finish();
     if (policies_) policies_->finish();
     world_.oracles.finish(end_);
+    catch_up();
+  }
+
+  // Subscribers read what has ended, and relays hear of each other's hits.
+  void catch_up() {
+    const bool read = !subscribers_ || subscribers_->caught_up(end_);
+    const bool counted = !hits_ || hits_->exact();
+    const double now = world_.now();
+    if (!(read && counted) && now < end_ + 2 * scenario_.settle_s)
+      return world_.after(0.5, [this] { catch_up(); });
+    if (hits_) hits_->finish();
+    std::set<int> serving;
+    for (int r = 0; r < scenario_.relays; ++r) {
+      if (fleet_->serving(r)) serving.insert(r);
+    }
+    world_.parts.finish(now, end_, serving);
+    if (subscribers_ || hits_) world_.figures.add("parts_caught_up_s", now - end_);
+    if (subscribers_) {
+      subscribers_->stop();
+      subscribers_->tell(world_.figures);
+    }
     say("ending the relays");
     fleet_->end([this] { done(); });
   }
@@ -157,6 +183,8 @@
   std::unique_ptr<Clients> clients_;
   std::unique_ptr<Views> views_;
   std::unique_ptr<Policies> policies_;
+  std::unique_ptr<Subscribers> subscribers_;
+  std::unique_ptr<HitSamples> hits_;
   std::unique_ptr<Strikes> strikes_;
   bool begun_ = false;
   bool over_ = false;
--- a/lab/policies.cpp
+++ b/lab/policies.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 
 #include "../ctl/ask.h"
+#include "rule_plan.h"
 
 namespace umberhoist::lab {
 namespace {
@@ -60,7 +61,8 @@
   const double sent = world_.now(), due = sent + kGiveUp;
   const int destination = static_cast<int>(world_.chance() % world_.plan.partners.size());
   std::string facts = "c=m" + std::to_string(generation);
-  if (!world_.scenario.tenants.empty()) facts += ",t=" + world_.scenario.tenants.front().name;
+  const std::string customer = world_.scenario.customers().back().name;
+  facts += ",t=" + customer;
   facts += ",d=" + std::to_string(static_cast<int>(kGiveUp * 1000)) + ",dest=" + std::to_string(destination);
   const std::string body = std::string(kBody, ' ');
   HandIn hand;
@@ -70,6 +72,9 @@
   hand.due = due;
   hand.body = XXH64(body.data(), body.size(), 0);
   world_.oracles.handed_in(id, std::move(hand));
+  world_.parts.handed_in(
+      sent, id, relay,
+      {customer, "m" + std::to_string(generation), destination, zone_name(world_.scenario.zone_of(relay))});
   auto connection = std::make_shared<RespConnection>(world_);
   const std::string request = resp({"MSG.PUT", "0000000000000000", id, facts, body});
   connection->open(fleet_.address(relay), [this, relay, generation, id, request, connection](bool up) {
@@ -87,7 +92,10 @@
                              : fleet_.away(relay)        ? Answer::kGone
                                                          : Answer::kClosed;
           world_.oracles.answered(now, id, how);
-          if (taken) world_.oracles.policy.acted(now, asked, relay, generation);
+          world_.parts.answered(now, id, line);
+          if (!taken) return;
+          world_.oracles.policy.acted(now, asked, relay, generation);
+          world_.parts.acted(now, asked, relay, generation);
         });
   });
 }
@@ -100,25 +108,35 @@
   return -1;
 }
 
-void Policies::propose(const std::vector<int>& relays, bool aborted) {
+void Policies::propose(const std::vector<int>& relays, const std::string& state) {
   for (const int wanted : relays) {
     const int r = serving_from(wanted);
     if (r < 0) continue;
     const int generation = ++last_;
+    PartOracles& parts = world_.parts;
+    parts.proposed(world_.now(), generation,
+                   next_policy(world_.scenario, world_.plan.seed, generation, parts.newest(), state));
     const std::string path = folder_ + "/policy-" + std::to_string(generation) + ".json";
     std::ofstream(path) << fleet_.config_of(r, generation).dump(1);
     const std::string id = "g" + std::to_string(generation);
     try {
       const auto reply = ctl::ask(text_of(fleet_.second_address(r)), "POLICY PROPOSE " + id + " " + path);
-      if (!reply.ok) world_.figures.policy_turned_down();
+      if (!reply.ok) turned_down(generation, reply.first);
       world_.oracles.policy.proposed(world_.now(), generation);
-      if (aborted) (void)ctl::ask(text_of(fleet_.second_address(serving_from(r + 1))), "POLICY ABORT " + id);
+      if (state == "aborted")
+        (void)ctl::ask(text_of(fleet_.second_address(serving_from(r + 1))), "POLICY ABORT " + id);
     } catch (const std::exception&) {
       world_.figures.policy_turned_down();
     }
   }
 }
 
+void Policies::turned_down(int generation, const std::string& why) {
+  world_.figures.policy_turned_down();
+  world_.parts.never(generation);
+  std::fprintf(stderr, "policy %d was turned down: %s\n", generation, why.c_str());
+}
+
 void Policies::finish() {
   over_ = true;
   for (int r = 0; r < static_cast<int>(fleet_.size()); ++r) {
@@ -128,7 +146,9 @@
       for (const std::string& line : reply.lines) {
         if (!line.starts_with("g")) continue;
         const bool in_force = line.find(" in_force ") != std::string::npos;
-        world_.oracles.policy.change_ended(world_.now(), r, std::atoi(line.c_str() + 1), in_force);
+        const int generation = std::atoi(line.c_str() + 1);
+        world_.oracles.policy.change_ended(world_.now(), r, generation, in_force);
+        if (!in_force) world_.parts.never(generation);
       }
     } catch (const std::exception&) {
       continue;
--- a/lab/policies.h
+++ b/lab/policies.h
@@ -18,7 +18,8 @@
 
   void start();
   // Each of `relays` (or the next that serves) is handed a generation of its own at this moment.
-  void propose(const std::vector<int>& relays, bool aborted);
+  // `state`: aborted, and what is changed beside the marker (rule_plan.h).
+  void propose(const std::vector<int>& relays, const std::string& state);
   // The play is over: what relays say of each change is held against what was seen.
   void finish();
 
@@ -27,6 +28,7 @@
   std::vector<int> candidates() const;
   void hand_in(int relay, int generation);
   int serving_from(int relay) const;
+  void turned_down(int generation, const std::string& why);
 
   World& world_;
   Fleet& fleet_;
--- a/lab/result.cpp
+++ b/lab/result.cpp
@@ -41,11 +41,12 @@
                      {"first_broken", state.broken == 0 ? json(nullptr) : json(state.first)}};
     if (state.broken > 0) oracles[name]["broken"] = state.broken;
   }
+  json result = world.figures.result(end);
+  world.parts.tell(oracles, result["figures"]);
   json faults = json::array();
   for (const Fault& f : world.plan.faults) {
     faults.push_back({{"at", f.at}, {"until", f.at + f.lasts}, {"what", f.text()}});
   }
-  json result = world.figures.result(end);
   result["scenario"] = world.scenario.name;
   result["what"] = world.scenario.what;
   result["seed"] = world.plan.seed;
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -26,6 +26,17 @@
   if (out.relay.others > 0 && out.relay.other.empty()) {
     throw Unusable("relay.other names no program (--set relay.other=PROGRAM)");
   }
+  if (!out.fleet && (out.budgets.on || out.access.on || out.feeds.on)) {
+    throw Unusable("budgets, access and feeds need fleet = true");
+  }
+  if (out.voting > 0 && (out.voting % 2 == 0 || out.voting > out.relays)) {
+    throw Unusable("voters is not an odd number of the relays");
+  }
+  for (const WrittenRule& written : out.access.rules) {
+    if (std::ranges::none_of(out.tenants, [&](const TenantSpec& t) { return t.name == written.customer; })) {
+      throw Unusable("access.rule " + written.rule.id + " is of no tenant: \"" + written.customer + "\"");
+    }
+  }
   for (const ClassSpec& c : out.classes) {
     if (c.name.empty() || c.effect.empty()) throw Unusable("a class has no name or no effect");
     if (c.give_up_s <= 0) throw Unusable("class " + c.name + " has no give_up_s");
@@ -103,6 +114,7 @@
 void read(TableReader& in, TenantSpec& out) {
   in.text("name", out.name);
   in.number("share", out.share);
+  in.number("quota_per_s", out.quota_per_s);
 }
 
 Scenario read_scenario(const toml::table& table) {
@@ -114,6 +126,10 @@
   in.number("settle_s", out.settle_s);
   in.number("relays", out.relays);
   in.flag("fleet", out.fleet);
+  in.number("voters", out.voting);
+  in.section("budgets", out.budgets);
+  in.section("access", out.access);
+  in.section("feeds", out.feeds);
   in.section("load", out.load);
   in.section("partners", out.partners);
   in.section("relay", out.relay);
@@ -128,6 +144,12 @@
   return out;
 }
 
+std::vector<TenantSpec> Scenario::customers() const {
+  std::vector<TenantSpec> out = tenants;
+  if ((access.on || feeds.on) && changes_policy()) out.push_back({kMarkers, 0, 0});
+  return out;
+}
+
 bool Scenario::changes_policy() const {
   return std::ranges::any_of(faults, [](const FaultSpec& f) { return f.kind == "policy"; });
 }
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "fault.h"
+#include "parts_spec.h"
 #include "table_reader.h"
 
 namespace umberhoist::lab {
@@ -31,6 +32,7 @@
 struct TenantSpec {
   std::string name;
   double share = 1;
+  double quota_per_s = 0;  // messages a second over the fleet; 0: none
 };
 
 struct Load {
@@ -87,6 +89,10 @@
   bool rivals = false;  // two changes at once, aborted ones, ones that no build can hold
 };
 
+constexpr const char* kMarkers = "lab-markers";
+inline std::string zone_name(int zone) { return "lj-dc" + std::to_string(zone + 1); }
+inline std::string feed_name(int subscription) { return "s" + std::to_string(subscription); }
+
 struct Scenario {
   std::string name;
   std::string what;
@@ -97,13 +103,28 @@
   PartnerSpec partners;
   RelaySpec relay;
   bool fleet = false;  // relays may talk, through the lab
+  int voting = 0;      // so many are voters; 0: by their number
+  BudgetSpec budgets;
+  AccessSpec access;
+  FeedSpec feeds;
   SimSpec sim;
   std::vector<ClassSpec> classes;
   std::vector<TenantSpec> tenants;
   std::vector<FaultSpec> faults;
 
-  bool changes_policy() const;                                          // of the fleet
-  int voters() const { return relays >= 5 ? 5 : relays >= 3 ? 3 : 1; }  // the first ones
+  bool changes_policy() const;  // of the fleet
+  int voters() const {          // the first ones
+    return voting > 0 ? voting : relays >= 5 ? 5 : relays >= 3 ? 3 : 1;
+  }
+  int zones() const { return access.on ? access.zones : 1; }
+  int zone_of(int number) const { return number % zones(); }  // of a relay
+  // Zones that a customer's subscription is bound to: the second one to the first zone; empty: to none.
+  std::vector<std::string> regions_of(int subscription) const {
+    return subscription == 1 && zones() > 1 ? std::vector<std::string>{zone_name(0)}
+                                            : std::vector<std::string>();
+  }
+  // Tenants, and where policies change one more, without rules, whose messages tell which is in force.
+  std::vector<TenantSpec> customers() const;
 };
 
 void read(TableReader& in, ClassSpec& out);
--- a/lab/strikes.cpp
+++ b/lab/strikes.cpp
@@ -13,7 +13,9 @@
   } else if (f.kind == "drain") {
     for (const int p : f.targets) drain(p);
   } else if (f.kind == "policy") {
-    parts_.policies->propose(f.targets, f.state == "aborted");
+    parts_.policies->propose(f.targets, f.state);
+  } else if (f.kind == "resubscribe") {
+    if (parts_.subscribers != nullptr) parts_.subscribers->resubscribe(f.factor);
   } else if (f.kind == "net") {
     strike_network(f);
   } else {
@@ -25,6 +27,8 @@
   if (f.kind == "kill") parts_.fleet.kill(r, f.lasts, f.folder);
   if (f.kind == "term") parts_.fleet.term(r, f.lasts, f.folder);
   if (f.kind == "stop") parts_.fleet.pause(r, f.lasts);
+  if (f.kind == "join") parts_.fleet.join(r);
+  if (f.kind == "leave") parts_.fleet.term(r, -1, "kept");
   if (f.kind == "disk") parts_.fleet.fill_disk(r, f.lasts);
   if (f.kind == "discovery") {
     Discovery& agent = *parts_.agents[static_cast<size_t>(r)];
--- a/lab/strikes.h
+++ b/lab/strikes.h
@@ -3,6 +3,7 @@
 
 #include "fleet.h"
 #include "policies.h"
+#include "subscribers.h"
 
 namespace umberhoist::lab {
 
@@ -12,8 +13,9 @@
     const std::vector<std::unique_ptr<Partner>>& partners;
     const std::vector<std::unique_ptr<Discovery>>& agents;
     Fleet& fleet;
-    PairNetwork* network = nullptr;  // null: relays do not talk
-    Policies* policies = nullptr;    // null: no fault is one of policy
+    PairNetwork* network = nullptr;      // null: relays do not talk
+    Policies* policies = nullptr;        // null: no fault is one of policy
+    Subscribers* subscribers = nullptr;  // null: there are none
   };
   Strikes(World& world, const Parts& parts) : world_(world), parts_(parts) {}
 
--- a/lab/table_reader.h
+++ b/lab/table_reader.h
@@ -64,6 +64,13 @@
     if (!value) throw Unusable(path(key) + " is not true or false");
     out = *value;
   }
+  // Lists of texts, and of whole numbers.
+  void list(const char* key, std::vector<std::string>& out) {
+    each(key, out, "a list of texts", [](const toml::node& n) { return n.value<std::string>(); });
+  }
+  void list(const char* key, std::vector<int>& out) {
+    each(key, out, "a list of whole numbers", [](const toml::node& n) { return n.value_exact<int64_t>(); });
+  }
   // Each table of a list, likewise; `before` is called with each as it is before it is read.
   template <typename Spec, typename Before>
   void sections(const char* key, std::vector<Spec>& out, Before before) {
@@ -106,6 +113,19 @@
   }
 
  private:
+  template <typename Value, typename Read>
+  void each(const char* key, std::vector<Value>& out, const char* form, Read read_one) {
+    const toml::node* node = take(key);
+    if (node == nullptr) return;
+    const toml::array* list = node->as_array();
+    if (list == nullptr) throw Unusable(path(key) + " is not " + form);
+    out.clear();
+    for (const toml::node& item : *list) {
+      const auto value = read_one(item);
+      if (!value) throw Unusable(path(key) + " is not " + form);
+      out.push_back(static_cast<Value>(*value));
+    }
+  }
   const toml::node* take(const char* key) {
     taken_.insert(key);
     return table_.get(key);
--- a/lab/verdicts.cpp
+++ b/lab/verdicts.cpp
@@ -16,11 +16,7 @@
 }
 
 void Verdicts::broke(const std::string& oracle, double now, int relay, const std::string& what) {
-  State& state = states_[oracle];
-  if (++state.broken > 1 && now >= state.at) return;
-  state.at = now;
-  state.relay = relay;
-  state.first = "at " + seconds(now) + ", relay " + std::to_string(relay) + ": " + what;
+  states_[oracle].broke(now, relay, what);
 }
 
 bool Verdicts::held() const {
--- a/lab/verdicts.h
+++ b/lab/verdicts.h
@@ -9,6 +9,8 @@
 #include <map>
 #include <string>
 
+#include "verdict.h"
+
 namespace umberhoist::lab {
 
 struct Rules {  // of the play; slack is added here and nowhere else
@@ -28,13 +30,7 @@
 
 class Verdicts {
  public:
-  struct State {
-    uint64_t checked = 0;
-    uint64_t broken = 0;
-    std::string first;  // when, what, which relay; empty: held
-    int relay = -1;
-    double at = 0;
-  };
+  using State = Verdict;
 
   void add(std::initializer_list<const char*> oracles);  // they show from now on
   void checked(const std::string& oracle) { ++states_[oracle].checked; }
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -22,6 +22,7 @@
       chance(drawn.seed, 3),
       ports(loop),
       oracles(rules_of(given), given.relays),
+      parts(given, drawn),
       figures(given, drawn) {}
 
 void World::after(double seconds, std::function<void()> then) {
--- a/lab/world.h
+++ b/lab/world.h
@@ -10,6 +10,7 @@
 
 #include "figures.h"
 #include "oracle.h"
+#include "part_oracles.h"
 #include "plan.h"
 #include "ports.h"
 
@@ -35,6 +36,7 @@
   Chance chance;
   Ports ports;
   Oracles oracles;
+  PartOracles parts;
   Figures figures;
   // What partners and the platform tell the clients: a call was answered 200, a message was ended by a
   // notice.
--- a/tests/fleet/lab_test.cpp
+++ b/tests/fleet/lab_test.cpp
@@ -137,6 +137,15 @@
 }
 
 constexpr const char* kPlain = "length_s=2";
+constexpr const char* kAccess =
+    "length_s=2\nrelays=1\nfleet=true\n[access]\non=true\n[[tenant]]\nname='a'\n[[tenant]]\nname='b'\n"
+    "[[access.rule]]\ncustomer='a'\nid='not-1'\nsay='deny'\npartner=[1]\n";
+constexpr const char* kFeeds =
+    "length_s=3\nrelays=1\nfleet=true\n[feeds]\non=true\ndies_s=0.4\npoll_s=0.05\ntwice=0.4\n";
+constexpr const char* kBudgets = "length_s=3\nrelays=1\nfleet=true\n[budgets]\non=true\nburst_ms=100\n";
+constexpr const char* kScarce =
+    "length_s=6\nrelays=1\nfleet=true\n[budgets]\non=true\nburst_ms=100\n[load]\nrate=60\n[partners]\n"
+    "headroom=0.1\nleast_limit=1\n";
 INSTANTIATE_TEST_SUITE_P(
     Faults, StandinTest,
     ::testing::Values(
@@ -157,7 +166,11 @@
         Case{"memory", "limits_kept", "length_s=2\n[relay]\nmemory_mb=200"},
         Case{"disk", "limits_kept", kPlain}, Case{"crash", "clean_end", kPlain},
         Case{"status", "clean_end", kPlain}, Case{"late", "starts", "length_s=2\n[relay]\nready_s=0.5"},
-        Case{"orphan", "no_orphan", kPlain}),
+        Case{"orphan", "no_orphan", kPlain}, Case{"none2", "", kAccess}, Case{"rule", "rules_kept", kAccess},
+        Case{"misname", "rules_kept", kAccess}, Case{"miscount", "hits_exact", kAccess},
+        Case{"none3", "", kFeeds}, Case{"omit", "feed_exact", kFeeds}, Case{"refeed", "feed_exact", kFeeds},
+        Case{"unfenced", "feed_exact", kFeeds}, Case{"back", "feed_exact", kFeeds},
+        Case{"none4", "", kBudgets}, Case{"spend", "budget_kept", kScarce}),
     [](const auto& one) { return std::string(*one.param.fault == '\0' ? "none" : one.param.fault); });
 
 TEST(ShrinkTest, KeepsTheFaultThatBreaksAndTakesTheOthersOut) {
--- a/tests/fleet/standin.cpp
+++ b/tests/fleet/standin.cpp
@@ -17,6 +17,8 @@
 #include <set>
 #include <thread>
 
+#include "standin_parts.h"
+
 namespace {
 
 namespace http = boost::beast::http;
@@ -26,6 +28,7 @@
 const std::string fault = std::getenv("STANDIN_FAULT") == nullptr ? "" : std::getenv("STANDIN_FAULT");
 
 json config;
+std::unique_ptr<StandinParts> parts;
 std::mutex mutex;
 std::map<int, std::string> hosts;                            // by destination: one is enough
 std::map<int, std::chrono::steady_clock::time_point> waits;  // told by destinations
@@ -97,7 +100,8 @@
                                       : Outcome::kNever;
 }
 
-void deliver(const std::string& id, const std::string& key, const std::string& body, int destination) {
+void deliver(const std::string& id, const std::string& customer, const std::string& key,
+             const std::string& body, int destination) {
   if (fault == "drop") return;
   if (fault == "crash") ::_exit(3);
   if (fault == "twice") std::thread([=] { call(id, key, body, destination); }).detach();
@@ -107,7 +111,11 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(fault == "push" ? 5 : 150));
     outcome = call(id, key, body, destination);
   }
-  if (outcome != Outcome::kDelivered) notice(id, outcome == Outcome::kNever ? "returned" : "failed");
+  const char* answer = outcome == Outcome::kDelivered ? "delivered"
+                       : outcome == Outcome::kNever   ? "returned"
+                                                      : "failed";
+  parts->ended(id, customer, answer);
+  if (outcome != Outcome::kDelivered) notice(id, answer);
 }
 
 void serve(tcp::socket socket) {
@@ -134,14 +142,20 @@
         boost::asio::write(socket, boost::asio::buffer(std::string("+PONG\r\n")));
         continue;
       }
+      if (words[0].starts_with("FEED.")) {
+        boost::asio::write(socket, boost::asio::buffer(parts->feed(words)));
+        continue;
+      }
       if (fault == "close") return;
       std::map<std::string, std::string> facts;
       std::string part;
       for (std::istringstream all(words[3]); std::getline(all, part, ',');) {
         facts[part.substr(0, part.find('='))] = part.substr(part.find('=') + 1);
       }
-      boost::asio::write(socket, boost::asio::buffer(std::string("+OK\r\n")));
-      std::thread(deliver, words[2], facts["k"], words[4], std::stoi(facts["dest"])).detach();
+      const std::string denial = parts->denial(facts["t"], std::stoi(facts["dest"]));
+      boost::asio::write(socket, boost::asio::buffer(denial.empty() ? std::string("+OK\r\n") : denial));
+      if (!denial.empty()) continue;
+      std::thread(deliver, words[2], facts["t"], facts["k"], words[4], std::stoi(facts["dest"])).detach();
     }
   } catch (const std::exception&) {
   }
@@ -166,12 +180,29 @@
   }
 }
 
+// The operators' address: that the policy is in force, and hits.
+void operate() {
+  try {
+    boost::asio::io_context io;
+    tcp::acceptor acceptor(io, address(config["operator"]));
+    for (;;) {
+      tcp::socket socket = acceptor.accept();
+      std::string in;
+      boost::asio::read_until(socket, boost::asio::dynamic_buffer(in), "\n");
+      const std::string out = "OK\n" + (in.starts_with("ACCESS") ? parts->hits() : "") + "END\n";
+      boost::asio::write(socket, boost::asio::buffer(out));
+    }
+  } catch (const std::exception&) {
+  }
+}
+
 }  // namespace
 
 int main() {
   ::signal(SIGTERM, [](int) { ::_exit(std::getenv("STANDIN_FAULT") == std::string_view("status") ? 7 : 0); });
   ::signal(SIGPIPE, SIG_IGN);
   config = json::parse(std::ifstream(std::getenv("PROXY_CONFIG")));
+  parts = std::make_unique<StandinParts>(config["settings"], fault);
   read_list(config["known"]);
   if (fault == "late") std::this_thread::sleep_for(std::chrono::milliseconds(1200));
   static std::vector<char> hoard(fault == "memory" ? 300'000'000 : 0, 'x');
@@ -183,6 +214,7 @@
     std::ofstream(std::string(std::getenv("PROXY_STATE")) + "/fill") << std::string(9'000'000, 'x');
   }
   std::thread(watch).detach();
+  if (config.contains("operator")) std::thread(operate).detach();
   boost::asio::io_context io;
   tcp::acceptor acceptor(io, address(config["listen"]));
   for (;;) std::thread(serve, acceptor.accept()).detach();
