--- a/lab/hit_samples.cpp
+++ b/lab/hit_samples.cpp
@@ -14,12 +14,16 @@
 HitsExact::Counts read_hits(const std::vector<std::string>& lines) {
   HitsExact::Counts out;
   for (const std::string& line : lines) {
-    std::istringstream words(line);
-    std::string what, customer, id, word;
-    if (!(words >> what >> customer >> id) || what != "rule") continue;
-    while (words >> word) {
-      if (word.starts_with("fleet=")) out[{customer, id}] += std::strtoull(word.c_str() + 6, nullptr, 10);
+    const size_t customer = line.find(" customer=");  // the rest of the line
+    if (!line.starts_with("rule ") || customer == std::string::npos) continue;
+    std::string id;
+    uint64_t fleet = 0;
+    std::istringstream words(line.substr(0, customer));
+    for (std::string word; words >> word;) {
+      if (word.starts_with("id=")) id = word.substr(3);
+      if (word.starts_with("fleet=")) fleet = std::strtoull(word.c_str() + 6, nullptr, 10);
     }
+    out[{line.substr(customer + 10), id}] += fleet;
   }
   return out;
 }
--- a/lab/subscribers.cpp
+++ b/lab/subscribers.cpp
@@ -54,16 +54,18 @@
   for (const auto& [code, count] : codes_) figures.add("feed_refused, " + code, static_cast<double>(count));
 }
 
-bool Subscribers::caught_up(double until) const {
-  return std::ranges::all_of(
-      all_, [&](const auto& one) { return one->off || (one->known && oracle_.owed(one->name, until) == 0); });
+bool Subscribers::caught_up(double until) {
+  return std::ranges::all_of(all_, [&](const auto& one) {
+    return removed(*one) || (one->known && oracle_.owed(one->name, until) == 0);
+  });
 }
 
-void Subscribers::removed(const std::string& customer) {
-  for (const auto& one : all_) {
-    if (one->customer != customer || std::exchange(one->off, true)) continue;
-    if (one->known) oracle_.released(one->name);
+bool Subscribers::removed(One& one) {
+  if (!one.off && world_.parts.newest().removed.contains(one.customer)) {
+    one.off = true;
+    if (one.known) oracle_.released(one.name);
   }
+  return one.off;
 }
 
 void Subscribers::resubscribe(double share) {
@@ -111,7 +113,7 @@
 // Refused, or nobody answered: somewhere else.
 void Subscribers::refused(One& one, const FeedClient::Reply& reply) {
   if (reply.kind != 0) ++codes_[code_of(reply)];
-  if (one.off) return;
+  if (removed(one)) return;
   again(one, 0.1 + 0.3 * world_.unit());
 }
 
@@ -166,7 +168,7 @@
 }
 
 void Subscribers::die(One& one) {
-  if (over_ || one.off) return;
+  if (over_ || removed(one)) return;
   const FeedSpec& spec = world_.scenario.feeds;
   one.lost_at = world_.now();
   if (one.known && !one.session.empty() && !one.older && world_.unit() < spec.twice) {
--- a/lab/subscribers.h
+++ b/lab/subscribers.h
@@ -21,10 +21,8 @@
   void start();
   // So many of all, at this moment, come back at another relay.
   void resubscribe(double share);
-  // A customer is no more.
-  void removed(const std::string& customer);
-  bool caught_up(double until) const;  // nothing is owed to any of what ended until then
-  void stop();                         // for good
+  bool caught_up(double until);  // nothing is owed to any of what ended until then
+  void stop();                   // for good
   void tell(Figures& figures) const;
 
  private:
@@ -58,6 +56,7 @@
   using Then = std::function<void(const FeedClient::Reply&)>;
 
   int pick(int but) const;
+  bool removed(One& one);  // its customer is no more: it ends
   void connect(One& one);
   void open(One& one);
   void opened(One& one, const FeedOpened& reply, bool shown);
--- a/tests/fleet/standin_parts.h
+++ b/tests/fleet/standin_parts.h
@@ -37,7 +37,8 @@
     const std::lock_guard lock(mutex_);
     std::string out;
     for (const auto& [rule, count] : hits_) {
-      out += "rule " + rule.first + " " + rule.second + " fleet=" + std::to_string(count) + "\n";
+      out += "rule own=0 fleet=" + std::to_string(count) + " id=" + rule.second + " customer=" + rule.first +
+             "\n";
     }
     return out;
   }
