--- a/access/hits.cpp
+++ b/access/hits.cpp
@@ -35,10 +35,15 @@
 void Counts::set(const RuleKey& key, uint64_t count) {
   const auto it = by_rule_.find(key);
   if (it != by_rule_.end()) digest_ -= hash_of(key, it->second);
+  const size_t room = key.customer.size() + key.id.size() + 40;
   if (count == 0) {
-    if (it != by_rule_.end()) by_rule_.erase(it);
+    if (it != by_rule_.end()) {
+      bytes_ -= room;
+      by_rule_.erase(it);
+    }
     return;
   }
+  if (it == by_rule_.end()) bytes_ += room;
   digest_ += hash_of(key, count);
   by_rule_[key] = count;
 }
--- a/access/hits.h
+++ b/access/hits.h
@@ -57,6 +57,7 @@
   uint64_t total() const { return total_; }  // hits ever counted, dropped ones too: never falls
   uint64_t dropped() const { return dropped_; }
   uint64_t digest() const { return digest_; }  // of the counts by rule: equal ones have equal digests
+  size_t bytes() const { return bytes_; }      // at most, as packed
   bool empty() const { return total_ == 0; }
   bool operator==(const Counts& other) const { return total_ == other.total_ && by_rule_ == other.by_rule_; }
 
@@ -71,6 +72,7 @@
   uint64_t total_ = 0;
   uint64_t dropped_ = 0;
   uint64_t digest_ = 0;
+  size_t bytes_ = 32;
 };
 
 }  // namespace umberhoist::access
--- a/access/rules.cpp
+++ b/access/rules.cpp
@@ -19,7 +19,6 @@
 using Numbers = std::unordered_map<std::string, size_t>;
 
 constexpr double kMostRate = 1e9;
-constexpr const char* kSays[] = {"allow", "deny", "prefer", "limit"};
 
 Numbers numbered(const std::vector<std::string>& names) {
   Numbers out;
@@ -31,6 +30,11 @@
   return settings.value(key, json::array()).get<std::vector<std::string>>();
 }
 
+std::string name_of(const json& realm) {
+  const bool named = realm.is_object() && realm.contains("name") && realm["name"].is_string();
+  return named ? realm["name"].get<std::string>() : "";
+}
+
 void only_keys(const json& value, const std::string& where, std::initializer_list<const char*> known) {
   if (!value.is_object()) throw Fault(kMalformed, where, "is not an object");
   for (const auto& [key, child] : value.items()) {
@@ -146,7 +150,7 @@
 
 Customer parse_customer(const json& realm, const std::string& at, const Known& known, size_t& count) {
   Customer out;
-  out.name = realm.value("name", "");
+  out.name = name_of(realm);
   const std::string where = at + ".access";
   const json& access = realm["access"];
   only_keys(access, where, {"default", "rules"});
@@ -183,23 +187,25 @@
 
 Rules parse_rules(const json& settings) {
   Rules out;
-  const json realms = settings.value("realms", json::array());
-  if (!realms.is_array()) return out;
   for (const json& c : settings.value("categories", json::array()))
     out.names.classes.push_back(c.value("name", ""));
   out.names.kinds = names_in(settings, "kinds");
   out.names.zones = names_in(settings, "azs");
   out.zone = settings.value("zone", 0);
+  const json realms = settings.value("realms", json::array());
+  if (!realms.is_array()) return out;
+  std::unordered_map<std::string, int> named;
+  for (const json& realm : realms) ++named[name_of(realm)];
   const Known known{numbered(out.names.classes), numbered(out.names.kinds), numbered(out.names.zones)};
   Work work;
   size_t at = 0;
   for (const json& realm : realms) {
     const std::string where = "settings.realms." + std::to_string(at++);
     if (!realm.is_object() || !realm.contains("access")) continue;
-    const std::string name = realm.value("name", "");
-    const auto same =
-        std::ranges::count_if(realms, [&](const json& other) { return other.value("name", "") == name; });
-    if (name.empty() || same > 1) throw Fault(kNoCustomer, where, "has rules, but no name of its own");
+    const std::string name = name_of(realm);
+    if (name.empty() || named[name] > 1) {
+      throw Fault(kNoCustomer, where, "has rules, but no name of its own");
+    }
     out.customers.push_back(parse_customer(realm, where, known, out.count));
     check_reach(out.customers.back(), where, work);
   }
@@ -209,40 +215,4 @@
   return out;
 }
 
-std::string describe(const Rules& rules) {
-  std::string out;
-  for (const Customer& c : rules.customers) {
-    out += "customer " + c.name + ": " + std::to_string(c.rules.size() - 1) + " rules, else " +
-           kSays[static_cast<size_t>(c.rules.back().say)] + "\n";
-    for (const Rule& r : c.rules) {
-      if (&r == &c.rules.back()) continue;
-      out += "  " + r.id + ": " + kSays[static_cast<size_t>(r.say)];
-      const auto list = [&](const char* what, const Bits& set, const std::vector<std::string>& names) {
-        if (set.size() == 0 || set.all()) return;
-        out += std::string(" ") + what;
-        char between = '=';
-        set.each([&](size_t i) { out += std::exchange(between, ',') + names[i]; });
-      };
-      list("class", r.classes, rules.names.classes);
-      char between = '=';
-      if (!r.partners.empty()) out += " partner";
-      for (const int partner : r.partners) out += std::exchange(between, ',') + std::to_string(partner);
-      list("kind", r.kinds, rules.names.kinds);
-      list("from", r.from, rules.names.zones);
-      list("to", r.to, rules.names.zones);
-      list("first", r.near, rules.names.zones);
-      if (r.say == Say::kLimit) out += " per_s=" + json(r.per_s).dump();
-      out += "\n";
-    }
-  }
-  return out;
-}
-
-bool names_kept(const Names& old, const Names& next) {
-  const auto begins = [](const std::vector<std::string>& a, const std::vector<std::string>& b) {
-    return a.size() <= b.size() && std::equal(a.begin(), a.end(), b.begin());
-  };
-  return begins(old.zones, next.zones) && begins(old.kinds, next.kinds);
-}
-
 }  // namespace umberhoist::access
--- a/access/rules.h
+++ b/access/rules.h
@@ -55,6 +55,7 @@
 };
 
 enum class Say { kAllow, kDeny, kPrefer, kLimit };
+constexpr const char* kSays[] = {"allow", "deny", "prefer", "limit"};
 
 struct Rule {
   std::string id;
--- a/access/spread.cpp
+++ b/access/spread.cpp
@@ -28,6 +28,7 @@
 }  // namespace
 
 void Spread::own(uint64_t number, const Counts& counts) {
+  if (own_ == &counts && origin_.number == number) return;
   origin_ = {name_, number};
   own_ = &counts;
   own_digest_ = 0;
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "access.h"
 #include "ask.h"
 #include "fleet_view.h"
 #include "policy.h"
@@ -118,6 +119,13 @@
       to_relays(policy->add_subcommand("replace", "put one relay in another's place among the voters"));
   replace->add_option("old", from)->required();
   replace->add_option("new", to)->required();
+  CLI::App* access = app.add_subcommand("access", "the customers' rules on where their messages may travel");
+  access->require_subcommand(1);
+  std::string customer;
+  CLI::App* hits = to_relays(access->add_subcommand(
+      "hits", "how many messages each rule decided: by a relay, and by the fleet as it knows"));
+  hits->add_option("customer", customer, "of this one alone");
+  CLI::App* rules = to_relays(access->add_subcommand("rules", "those in force"));
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
@@ -132,6 +140,8 @@
     if (*policy_now) return policy_status(relays);
     if (*ended) return policy_history(relays);
     if (*diff) return policy_diff(relays, from, to);
+    if (*hits) return access_hits(relays, customer);
+    if (*rules) return access_rules(relays);
     if (*abort) return policy_call(relays, "ABORT " + from);
     if (*replace) return policy_call(relays, "REPLACE " + from + " " + to);
     return fleet_view(relays, watch, every_s);
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -76,6 +76,7 @@
   out.settings = parse_settings(flatten(settings));
   out.names.zones = settings.at("azs").get<std::vector<std::string>>();
   out.names.kinds = settings.at("kinds").get<std::vector<std::string>>();
+  out.access = umberhoist::access::parse_rules(settings);
   const json report = settings.value("telemetry", json::object());
   out.report_fields = report.value("fields", std::vector<std::string>{});
   out.known = parse_list(root.at("known"), out.names);
@@ -144,6 +145,7 @@
            seconds(c.target) + ", given up at " + seconds(c.give_up) + "\n";
   }
   for (const TenantSettings& t : s.tenants) out += "tenant " + t.name + "\n";
+  out += umberhoist::access::describe(config.access);
   out += std::to_string(config.known.hosts.size()) + " endpoints known, revision " +
          std::to_string(config.known.revision) + "\n";
   out += std::string("relays may ") + (s.may_tell_peers ? "" : "not ") + "talk to each other, and may " +
--- a/relay/config.h
+++ b/relay/config.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "../access/rules.h"
 #include "directory.h"
 #include "fleet_settings.h"
 
@@ -28,6 +29,7 @@
   Settings settings;
   ListNames names;
   std::vector<std::string> report_fields;
+  umberhoist::access::Rules access;    // of customers; empty: none has any
   std::optional<FleetSettings> fleet;  // none: relays do not talk
   HostList known;
 };
--- a/relay/custody.cpp
+++ b/relay/custody.cpp
@@ -16,16 +16,22 @@
 }  // namespace
 
 Custody::Custody(boost::asio::io_context& io, Place place, size_t most_file, const Settings& settings,
-                 const tcp::endpoint& discovery, const ToldWaits& waits, Happened happened)
+                 const umberhoist::access::Rules& rules, const tcp::endpoint& discovery,
+                 const ToldWaits& waits, Happened happened)
     : tenants_(settings.tenants),
       rules_(rules_by_name(settings)),
+      customers_(rules),
       journal_(std::move(place), most_file),
       figures_(settings.classes),
       notices_(io, discovery, [this](const std::string& id) { journal_.done(id); }),
       waits_(waits),
-      happened_(std::move(happened)) {}
+      happened_(std::move(happened)) {
+  journal_.keep_hits(customers_.in_force());
+}
 
-void Custody::retune(const Settings& settings) {
+void Custody::retune(const Settings& settings, const umberhoist::access::Rules& access) {
+  customers_.retune(access);
+  journal_.keep_hits(customers_.in_force());
   tenants_ = settings.tenants;
   const auto old = std::exchange(rules_, rules_by_name(settings));
   figures_.show(settings.classes);
@@ -47,6 +53,12 @@
   if (rules == rules_.end()) return "-ERR unknown class";
   const int tenant = tenant_of(handed.tenant);
   if (tenant < 0) return "-ERR unknown tenant";
+  handed.verdict = customers_.of(handed);
+  if (handed.verdict && !handed.verdict->denied_by.empty()) {
+    if (!journal_.denied(*handed.verdict)) return "-BUSY";
+    ++denied_;
+    return "-DENIED " + handed.verdict->denied_by;
+  }
   const uint64_t number = ++last_number_;
   Arrival in;
   in.id = number;
@@ -95,6 +107,7 @@
     const uint64_t number = ++last_number_;
     Held& held = held_[number];
     held.handed = entry.message;
+    held.handed.verdict = customers_.recorded(entry.verdict);
     held.attempts = entry.attempts;
     held.since = steady_now();
     held.stage = entry.attempts > 0 ? Stage::kWait : Stage::kQueue;
--- a/relay/custody.h
+++ b/relay/custody.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 #include <variant>
 
+#include "customer_rules.h"
 #include "discovery.h"
 #include "figures.h"
 #include "journal.h"
@@ -28,14 +29,16 @@
 
   // Throws std::runtime_error where the journal cannot be used.
   Custody(boost::asio::io_context& io, Place place, size_t most_file, const Settings& settings,
-          const tcp::endpoint& discovery, const ToldWaits& waits, Happened happened);
+          const umberhoist::access::Rules& rules, const tcp::endpoint& discovery, const ToldWaits& waits,
+          Happened happened);
 
-  // Other settings from now on; messages keep the rules that they came under.
-  void retune(const Settings& settings);
+  // Other settings and customers' rules from now on; messages keep those that they came under.
+  void retune(const Settings& settings, const umberhoist::access::Rules& rules);
   size_t classes() const { return rules_.size(); }
 
   // A message that a client hands in. A line: its answer. A number: the module hears of it, and decided()
   // tells the answer after the module's step.
+  // Denied by its customer's rules, it is answered once that is written.
   std::variant<uint64_t, std::string> put(Handed handed);
   // It is the relay's from the moment that its record is written; only then its client is told, and only then
   // it may be sent. `away`: the action that turns it away, if there is one.
@@ -66,6 +69,9 @@
   const Journal& journal() const { return journal_; }
   Notices& notices() { return notices_; }
   const Notices& notices() const { return notices_; }
+  CustomerRules& customers() { return customers_; }
+  const CustomerRules& customers() const { return customers_; }
+  uint64_t denied() const { return denied_; }  // messages, since this process began
   Figures& figures() { return figures_; }
   const Figures& figures() const { return figures_; }
 
@@ -75,11 +81,13 @@
 
   std::vector<TenantSettings> tenants_;
   std::map<std::string, std::shared_ptr<const MessageRules>> rules_;  // of the settings as they are now
+  CustomerRules customers_;
   Journal journal_;
   Figures figures_;
   Notices notices_;
   const ToldWaits& waits_;
   Happened happened_;
+  uint64_t denied_ = 0;
   uint64_t last_number_ = 0;
   std::unordered_map<uint64_t, Held> held_;
   std::unordered_map<std::string, uint64_t> numbers_;
--- /dev/null
+++ b/relay/customer_rules.cpp
@@ -0,0 +1,43 @@
+#include "customer_rules.h"
+
+#include <algorithm>
+
+#include "../access/verdict_record.h"
+
+namespace firspool::relay {
+
+namespace access = umberhoist::access;
+
+// The old list is let go after the new one is made, so that limits keep their numbers.
+void CustomerRules::retune(const access::Rules& rules) {
+  names_ = rules.names;
+  zone_ = rules.zone;
+  in_force_ = access::keys_of(rules);
+  if (rules.empty()) limits_.begin_version();
+  compiled_ = rules.empty() ? nullptr : std::make_unique<access::Compiled>(rules, limits_);
+}
+
+std::shared_ptr<const access::Verdict> CustomerRules::of(const Handed& message) const {
+  if (!compiled_) return nullptr;
+  return compiled_->verdict(message.tenant, message.message_class, message.destination, zone_);
+}
+
+std::shared_ptr<const access::Verdict> CustomerRules::recorded(std::string_view bytes) {
+  return bytes.empty() ? nullptr : access::unpacked(bytes, names_, limits_);
+}
+
+std::vector<Granted> CustomerRules::even_parts(int relays) {
+  std::vector<Granted> out;
+  std::map<int, double> now;
+  for (const access::Limit& limit : limits()) {
+    const double part = limit.per_s / std::max(1, relays);
+    now[limit.number] = part;
+    const auto told = told_.find(limit.number);
+    if (told != told_.end() && told->second == part) continue;
+    out.push_back({Granted::Of::kLimit, limit.number, part});
+  }
+  told_ = std::move(now);
+  return out;
+}
+
+}  // namespace firspool::relay
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr double kAcceptPart = 0.95;  // of the file: the rest is room between two compactions
-constexpr size_t kReserve = 384;      // for a message's attempts and its end, beside those that are written
 constexpr size_t kFixed = 192;        // of a message's record, beside its texts
 constexpr size_t kLateRoom = 64;      // messages that may still come after the last compaction
 
@@ -52,6 +51,7 @@
     if (entry.told.boot != now.boot) restate(entry.what);
     recovered_.push_back(std::move(entry.what));
   }
+  hits_ = std::move(content.hits);
 }
 
 // Without room for it a later boot counts from the older record once more.
@@ -79,41 +79,6 @@
   return place == places_.end() ? "" : live_.at(place->second);
 }
 
-std::vector<Recovered> Journal::adopt(std::string_view bytes, const std::set<std::string>& skip) {
-  const Instant now = clock_();
-  JournalContent content(bytes, now);
-  const auto revision = [](const std::map<std::string, std::string>& facts) {
-    const auto it = facts.find(kRevision);
-    return it == facts.end() ? -1 : std::stoll(it->second);
-  };
-  if (revision(content.facts) > revision(remembered_)) {
-    for (const auto& [name, value] : content.facts) remember(name, value);
-  }
-  std::vector<Recovered> out;
-  for (auto& [place_there, entry] : content.messages) {
-    const std::string& id = entry.what.message.id;
-    if (places_.contains(id) || skip.contains(id)) continue;
-    places_[id] = ++order_;
-    live_[order_] = entry.records;
-    if (!write(entry.records)) {
-      live_.erase(order_);
-      places_.erase(id);
-      continue;
-    }
-    live_bytes_ += entry.records.size() + kReserve;
-    if (entry.told.boot != now.boot) restate(entry.what);
-    out.push_back(std::move(entry.what));
-  }
-  return out;
-}
-
-std::vector<Recovered> Journal::read(std::string_view bytes) const {
-  JournalContent content(bytes, clock_());
-  std::vector<Recovered> out;
-  for (auto& [place_there, entry] : content.messages) out.push_back(std::move(entry.what));
-  return out;
-}
-
 void Journal::keep_fact(const std::string& name, const std::string& value) {
   const auto old = remembered_.find(name);
   if (old != remembered_.end()) {
@@ -134,28 +99,57 @@
 
 bool Journal::has_room(const Handed& m) const {
   const size_t texts = m.id.size() + m.message_class.size() + m.key.size() + m.body.size() + m.tenant.size();
-  return fits(texts + kFixed);
+  return fits(texts + kFixed + (m.verdict ? m.verdict->record.size() + kFixed : 0));
 }
 
 // With a message of so many bytes, what will follow it included.
 bool Journal::fits(size_t bytes) const {
-  return static_cast<double>(live_bytes_ + bytes + kReserve) <= kAcceptPart * static_cast<double>(most_file_);
+  return static_cast<double>(live_bytes() + bytes + kReserve) <=
+         kAcceptPart * static_cast<double>(most_file_);
 }
 
 bool Journal::accepted(const Handed& m) {
-  const std::string record = record::accepted(m, clock_());
+  if (m.verdict && !counts()) return false;
+  const std::string record = record::accepted(m, clock_(), hits_.file());
   if (!fits(record.size())) return false;
   places_[m.id] = ++order_;
+  if (m.verdict) hits_.add(*m.verdict);
   if (append(m.id, record)) {
     live_bytes_ += kReserve;
     return true;
   }
+  if (m.verdict) hits_.take_back(*m.verdict);
   live_bytes_ -= live_[order_].size();
   live_.erase(order_);
   places_.erase(m.id);
   return false;
 }
 
+bool Journal::denied(const umberhoist::access::Verdict& verdict) {
+  if (!counts()) return false;
+  hits_.add(verdict);
+  if (write(record::denied(verdict))) return true;
+  hits_.take_back(verdict);
+  return false;
+}
+
+// Whether hits can be counted now: the file has its number, and what was added of another stands in it.
+bool Journal::counts() {
+  if (hits_.begun() && !hits_owed_) return true;
+  const bool fresh = !hits_.begun();
+  if (fresh) {
+    const uint64_t folder = folder_number(path_.parent_path());
+    if (folder == 0) return false;
+    hits_.begin(folder);
+  }
+  if (write(record::hits(hits_))) {
+    hits_owed_ = false;
+    return true;
+  }
+  if (fresh) hits_ = {};
+  return false;
+}
+
 bool Journal::attempt(const std::string& id, int number, int zone) {
   const auto place = places_.find(id);
   if (place == places_.end()) return false;
@@ -205,6 +199,7 @@
   std::string bytes;
   for (const auto& [name, value] : remembered_) bytes += record::fact(name, value);
   for (const auto& [place, records] : live_) bytes += records;
+  if (hits_.begun()) bytes += record::hits(hits_);
   if (bytes.size() > most_file_) return false;
   const int fresh = ::open(fresh_path_.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
   if (fresh < 0) return false;
@@ -216,6 +211,7 @@
   ::close(file_);
   file_ = fresh;
   size_ = bytes.size();
+  hits_owed_ = false;
   return true;
 }
 
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -44,12 +44,16 @@
   const std::map<std::string, std::string>& remembered() const { return remembered_; }
 
   // What a compaction would keep, with what is set aside for the records to come.
-  size_t live_bytes() const { return live_bytes_; }
+  size_t live_bytes() const { return live_bytes_ + hits_.bytes(); }
 
   // Whether a message would find room now.
   bool has_room(const Handed& message) const;
   // False: there is no room or it could not be written, and the message must not be taken on.
   bool accepted(const Handed& message);
+  // False: it could not be written, and must not be answered as denied.
+  bool denied(const umberhoist::access::Verdict& verdict);
+  const JournalHits& hits() const { return hits_; }
+  void keep_hits(const umberhoist::access::Keys& in_force) { hits_.keep(in_force); }
   // Sent now. False: it could not be written, and the call must not start.
   bool attempt(const std::string& id, int number, int zone);
   void never_ran(const std::string& id, int number);
@@ -59,8 +63,12 @@
   void remember(const std::string& name, const std::string& value);
 
  private:
+  // For a message's attempts and its end, beside those that are written.
+  static constexpr size_t kReserve = 384;
+
   void keep_fact(const std::string& name, const std::string& value);
   void restate(const Recovered& entry);
+  bool counts();
   bool fits(size_t bytes) const;
   bool append(const std::string& id, const std::string& record);
   bool write(std::string_view bytes);
@@ -80,6 +88,8 @@
   std::map<uint64_t, std::string> live_;    // and their records as written
   std::vector<Recovered> recovered_;
   std::map<std::string, std::string> remembered_;
+  JournalHits hits_;
+  bool hits_owed_ = false;  // what was added of another file could not be written yet
 };
 
 }  // namespace firspool::relay
--- a/relay/journal_records.cpp
+++ b/relay/journal_records.cpp
@@ -19,6 +19,8 @@
   kDone = 'D',
   kFact = 'F',
   kRestated = 'R',
+  kDenied = 'H',
+  kHits = 'C',
 };
 
 uint32_t checksum(std::string_view bytes) {
@@ -58,13 +60,15 @@
 
 }  // namespace
 
-std::string record::accepted(const Handed& m, const Instant& now) {
+std::string record::accepted(const Handed& m, const Instant& now, uint64_t counted) {
   const Time due = m.budget.due();
   RecordWriter out(kAccepted, m.id);
   out.text(m.message_class).text(m.key).number(m.destination).number(now.wall + due - now.steady);
   out.text(m.body).text(m.tenant);
   write_rules(out, *m.rules);
-  return framed(out.instant(now).number(due).payload());
+  out.instant(now).number(due);
+  if (m.verdict) out.text(m.verdict->record).number(static_cast<int64_t>(counted));
+  return framed(out.payload());
 }
 
 std::string record::attempt(const std::string& id, int number, int zone, const Instant& now) {
@@ -90,6 +94,23 @@
   return framed(RecordWriter(kRestated, id).instant(now).number(due).payload());
 }
 
+std::string record::denied(const umberhoist::access::Verdict& verdict) {
+  return framed(RecordWriter(kDenied, "").text(verdict.record).payload());
+}
+
+std::string record::hits(const JournalHits& totals) {
+  return framed(RecordWriter(kHits, "").text(totals.packed()).payload());
+}
+
+std::string JournalContent::Entry::records_elsewhere() const {
+  if (counted_at == 0) return records;
+  uint32_t length = 0;
+  std::memcpy(&length, records.data(), sizeof length);
+  std::string first = records.substr(kHeader, length);
+  first.replace(counted_at - kHeader, sizeof(uint64_t), sizeof(uint64_t), '\0');
+  return framed(first) + records.substr(kHeader + length);
+}
+
 JournalContent::JournalContent(std::string_view bytes, const Instant& now) {
   while (bytes.size() - whole >= kHeader) {
     uint32_t head[2];
@@ -112,6 +133,8 @@
     if (facts[id].empty()) facts.erase(id);
     return;
   }
+  if (kind == kDenied) return hits.denied(in.text());
+  if (kind == kHits) return hits.totals(in.text());
   if (kind == kAccepted) {
     Recovered entry;
     entry.message.id = id;
@@ -130,6 +153,11 @@
       fresh.told = in.instant();
       fresh.due = in.number();
       latest(fresh.told);
+      if (in.more()) {  // or here, where no rules decided
+        entry.verdict = in.text();
+        fresh.counted_at = kHeader + record.size() - in.left();
+        hits.accepted(entry.verdict, static_cast<uint64_t>(in.number()));
+      }
     } else {
       const Time life = entry.message.rules ? entry.message.rules->give_up : Budget::kMost;
       fresh.told.wall = due_by_wall - life;
--- a/relay/journal_records.h
+++ b/relay/journal_records.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <utility>
 
+#include "journal_hits.h"
 #include "message.h"
 
 namespace firspool::relay {
@@ -18,12 +19,14 @@
   int attempts = 0;
   std::map<int, std::pair<Time, int>> unsettled;  // attempts that may have run: when sent, to which zone
   std::optional<Notice> owed;
+  std::string verdict;  // its customer's rules', as it was written; empty: it has none
 };
 
 // Each a whole record, to be appended as it is.
 namespace record {
 
-std::string accepted(const Handed& message, const Instant& now);  // its rules are not null
+// Its rules are not null. `counted`: the number of the file that counts its verdict, where it has one.
+std::string accepted(const Handed& message, const Instant& now, uint64_t counted);
 std::string attempt(const std::string& id, int number, int zone, const Instant& now);
 std::string never_ran(const std::string& id, int number);
 std::string owed(const Notice& notice);
@@ -31,6 +34,9 @@
 std::string fact(const std::string& name, const std::string& value);
 // A budget taken over from another boot, on the clock of this one; earlier versions skip it.
 std::string restated(const std::string& id, const Instant& now, Time due);
+// Of rules; earlier versions skip both.
+std::string denied(const umberhoist::access::Verdict& verdict);
+std::string hits(const JournalHits& totals);
 
 }  // namespace record
 
@@ -43,10 +49,15 @@
     Instant told;  // when its budget was written, and its end on that clock
     Time due = 0;
     std::map<int, Instant> sent;
+    size_t counted_at = 0;  // in the records: which file counted its verdict; 0: it has none
+
+    // For another file than the one that counted it.
+    std::string records_elsewhere() const;
   };
   size_t whole = 0;  // bytes of whole records; a process killed while it wrote leaves a torn one at the end
   std::map<uint64_t, Entry> messages;  // in the order in which they came
   std::map<std::string, std::string> facts;
+  JournalHits hits;
 
   // Throws std::runtime_error where a whole record is none of the journal's.
   JournalContent(std::string_view bytes, const Instant& now);
--- a/relay/message.h
+++ b/relay/message.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "../access/verdict.h"
 #include "budget.h"
 
 namespace firspool::relay {
@@ -18,6 +19,7 @@
   std::string body;
   std::string tenant;                         // empty if none was named
   std::shared_ptr<const MessageRules> rules;  // null: of a record by an earlier version
+  std::shared_ptr<const umberhoist::access::Verdict> verdict = nullptr;  // null: its customer has no rules
 };
 
 struct Notice {
--- a/relay/record_fields.h
+++ b/relay/record_fields.h
@@ -50,6 +50,7 @@
  public:
   explicit RecordReader(std::string_view bytes) : bytes_(bytes) {}
   bool more() const { return !bytes_.empty(); }
+  size_t left() const { return bytes_.size(); }
   char kind() { return raw(1)[0]; }
   int64_t number() {
     int64_t value = 0;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -23,8 +23,8 @@
     : io_(io),
       config_(config),
       standing_(take_places(config.state)),
-      custody_(io, std::move(standing_.own), file_limit(), config.settings, config.discovery, waits_,
-               [this](Event event) { happened(std::move(event)); }),
+      custody_(io, std::move(standing_.own), file_limit(), config.settings, config.access, config.discovery,
+               waits_, [this](Event event) { happened(std::move(event)); }),
       policy_(config.settings, config.seed),
       random_(config.seed),
       wake_timer_(io),
@@ -56,6 +56,7 @@
   }
   waiting_ = custody_.journal().recovered();
   if (standing_.left) adopt(*std::exchange(standing_.left, {}));
+  show_access();
   told(config_.known);
   recall(custody_.journal().remembered());
   open_timer_.expires_after(std::chrono::microseconds(kFirstWord));
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "access_link.h"
 #include "clients.h"
 #include "config.h"
 #include "custody.h"
@@ -78,6 +79,7 @@
   // The rules that hold, its own and the fleet's (rules.cpp).
   void join_fleet();
   void take(Config next);
+  void show_access();
   std::string fenced_line();
   bool shut() const;  // the fleet's fence: nothing new is taken on
   // Upgrade: as the successor of another process (upgrade_successor.cpp),
@@ -124,8 +126,9 @@
   std::shared_ptr<Link> link_;        // to the other process
   Upstream upstream_;
   Replies replies_;
-  std::optional<FleetLink> fleet_;  // where relays talk, and this process serves
-  int relays_ = 0;                  // as the fleet's view counts them; 0: the settings say
+  std::optional<AccessLink> access_;  // where customers have rules, or had
+  std::optional<FleetLink> fleet_;    // where relays talk, and this process serves
+  int relays_ = 0;                    // as the fleet's view counts them; 0: the settings say
   std::optional<Operator> operator_;
   Watch watch_;
   std::function<void(const tcp::endpoint&)> listening_;
--- a/relay/replies.cpp
+++ b/relay/replies.cpp
@@ -10,7 +10,11 @@
     if (!now.serving) return "ERR not serving\n";
     return now.fenced.empty() ? "OK serving\n" : "ERR fenced: " + now.fenced + "\n";
   }
-  if (call == "METRICS") return "OK\n" + figures() + (more_figures_ ? more_figures_() : "") + "END\n";
+  if (call == "METRICS") {
+    std::string out = "OK\n" + figures();
+    for (const auto& [part, lines] : more_figures_) out += lines();
+    return out + "END\n";
+  }
   const size_t space = call.find(' ');
   const auto part = parts_.find(call.substr(0, space));
   if (part == parts_.end()) return "ERR unknown call\n";
--- a/relay/replies.h
+++ b/relay/replies.h
@@ -26,8 +26,10 @@
   // `word` begins calls that a part answers; the rest of the line is handed to it.
   using Part = std::function<std::string(const std::string& rest)>;
   void add(const std::string& word, Part part) { parts_[word] = std::move(part); }
-  // More lines of METRICS, each with its end.
-  void add_figures(std::function<std::string()> figures) { more_figures_ = std::move(figures); }
+  // More lines of METRICS, each with its end; the last of a part's name counts.
+  void add_figures(const std::string& part, std::function<std::string()> figures) {
+    more_figures_[part] = std::move(figures);
+  }
 
   std::string to(const std::string& call) const;
 
@@ -39,7 +41,7 @@
   const Upstream& upstream_;
   std::function<State()> state_;
   std::map<std::string, Part> parts_;
-  std::function<std::string()> more_figures_;
+  std::map<std::string, std::function<std::string()>> more_figures_;
 };
 
 }  // namespace firspool::relay
--- a/relay/rules.cpp
+++ b/relay/rules.cpp
@@ -1,4 +1,5 @@
 // Under which rules the relay serves: its configuration and the fleet's policy, taken over while it runs.
+#include <algorithm>
 #include <stdexcept>
 
 #include "config_policy.h"
@@ -30,13 +31,24 @@
         apply_share();
       },
       std::move(host));
+  if (access_) access_->join(*fleet_);
   replies_.add("POLICY", [this](const std::string& rest) {
     return fleet_ ? fleet_->policy().call(rest) : "ERR not in the fleet now\n";
   });
   replies_.add("FLEET", [this](const std::string&) {
     return fleet_ ? fleet_->members() : "ERR not in the fleet now\n";
   });
-  replies_.add_figures([this] { return fleet_ ? fleet_->figures() : std::string(); });
+  replies_.add_figures("fleet", [this] { return fleet_ ? fleet_->figures() : std::string(); });
+}
+
+// From the first rule or hit on. Where there never was one, nothing of it is made.
+void Relay::show_access() {
+  if (access_) return access_->retune(config_);
+  if (config_.access.empty() && !custody_.journal().hits().begun()) return;
+  access_.emplace(io_, config_, custody_);
+  if (fleet_) access_->join(*fleet_);
+  replies_.add("ACCESS", [this](const std::string& rest) { return access_->call(rest); });
+  replies_.add_figures("access", [this] { return access_->figures(); });
 }
 
 // All of the file or nothing of it. Where this process listens stays as it is until it is started again.
@@ -47,6 +59,14 @@
     if (const std::string key = missing_key(config_, next); !key.empty()) {
       throw std::invalid_argument(key + " is missing");
     }
+    const bool under_rules = !config_.access.empty() || !next.access.empty() ||
+                             std::ranges::any_of(custody_.held(), [](const auto& held) {
+                               return held.second.handed.verdict != nullptr;
+                             });
+    if (under_rules && !umberhoist::access::names_kept(config_.access.names, next.access.names)) {
+      throw umberhoist::Fault(umberhoist::access::kNamesMoved, "settings.azs and settings.kinds",
+                              "are in another order");
+    }
     if (config_.fleet && policy_of(next) != policy_of(config_)) {
       throw std::invalid_argument("its policy is not the fleet's: that is changed by POLICY PROPOSE");
     }
@@ -70,8 +90,9 @@
   if (!config_.fleet) next.fleet.reset();  // begins with the next start
   if (next.fleet) next.fleet->bind = config_.fleet->bind;
   config_ = std::move(next);
-  custody_.retune(config_.settings);
+  custody_.retune(config_.settings, config_.access);
   if (fleet_) fleet_->retune(config_);
+  show_access();
   upstream_.retune(upstream_limits(config_), config_.report_fields);
   watch_.rename(config_.names);
   apply_share();
--- a/relay/upgrade_predecessor.cpp
+++ b/relay/upgrade_predecessor.cpp
@@ -42,6 +42,7 @@
                std::to_string(upstream_.out()) + " calls out",
            {{"held", custody_.held().size()}, {"calls", upstream_.out()}});
   handing_ = closed_ = true;
+  if (access_) access_->leave();
   fleet_.reset();  // the successor needs its address
   clients_->finish();
   upstream_.close_all_idle();
--- a/relay/upgrade_successor.cpp
+++ b/relay/upgrade_successor.cpp
@@ -30,7 +30,7 @@
 }
 
 size_t Relay::file_limit() const {
-  const size_t disk = config_.disk_bytes - policy_disk(config_);
+  const size_t disk = config_.disk_bytes - policy_disk(config_) - AccessLink::disk(config_);
   if (!standing_.predecessor) return part(kFilePart, disk);
   if (share_.file == 0) return part(kStartPart, disk);
   const size_t both = part(kDiskPart, disk);
@@ -46,6 +46,7 @@
              {{"messages", entries.size()}});
   }
   left.remove();
+  show_access();
   if (clients_) return custody_.resume(entries);
   waiting_.insert(waiting_.end(), entries.begin(), entries.end());
 }
--- a/tests/access_rules.h
+++ b/tests/access_rules.h
@@ -11,6 +11,16 @@
 
 using nlohmann::json;
 
+inline const char* const kZones[] = {"dc1", "dc2", "dc3"};
+inline const char* const kKinds[] = {"agent", "card"};
+
+// Denies all, but for what is said otherwise.
+inline json rule(json more) {
+  json out = {{"id", "x"}, {"say", "deny"}};
+  if (!more.is_null()) out.update(more);
+  return out;
+}
+
 inline json settings_with(json rules, const std::string& otherwise = "allow") {
   return {{"categories", {{{"name", "record"}}, {{"name", "status"}}}},
           {"kinds", {"agent", "card"}},
