Budgets ride on the agreement's leases; sim-budgets plays them, and a model checker looks at the division

A renewal carries what a rider tells and a grant its answer, as one more field at the end that older builds do not look at; nothing is added where there is no rider. The leader tells its rider how late what it said has reached a relay, also one that is no voter: without that those of 30 relays that do not vote were held for deaf.

Found by plays: floors that begin where a whole grows past a call a term each were over the whole until parts had shrunk; so much of a whole just below that is now kept back.

--- a/fleet/agreement_messages.cpp
+++ b/fleet/agreement_messages.cpp
@@ -11,6 +11,7 @@
   const json& any() { return at(list_, next_++); }
   std::string text(size_t most) { return text_of(any(), most); }
   uint64_t number() { return number_of(any()); }
+  std::string ride() { return next_ < list_.size() ? bytes_in(any()) : std::string(); }
   bool flag() {
     const json& value = any();
     want(value.is_boolean());
@@ -56,8 +57,10 @@
 }
 
 json Renew::packed() const {
-  return {origin,  via,    life,   nonce,  number, program, raft_term, echo_term, echo_stamp,
-          version, digest, cannot, answer, no,     leaving, ended,     ask};
+  json out = {origin,  via,    life,   nonce,  number, program, raft_term, echo_term, echo_stamp,
+              version, digest, cannot, answer, no,     leaving, ended,     ask};
+  if (!ride.empty()) out.push_back(bytes_of(ride));
+  return out;
 }
 
 Renew Renew::of(const json& from) {
@@ -80,6 +83,7 @@
   out.leaving = in.flag();
   out.ended = in.number();
   out.ask = in.any();
+  out.ride = in.ride();
   return out;
 }
 
@@ -87,15 +91,17 @@
   json c, ends = json::array();
   if (change) c = {change->id, change->by, change->base, change->wall_ms, change->text, change_text};
   for (const Outcome& o : outcomes) ends.push_back(fleet::packed(o));
-  return {leader,  via,
-          to,      life,
-          number,  term,
-          stamp,   static_cast<uint64_t>(lease),
-          version, digest,
-          id,      text ? json(*text) : json(nullptr),
-          c,       busy,
-          ended,   ends,
-          voters,  list_of(waiting)};
+  json out = {leader,  via,
+              to,      life,
+              number,  term,
+              stamp,   static_cast<uint64_t>(lease),
+              version, digest,
+              id,      text ? json(*text) : json(nullptr),
+              c,       busy,
+              ended,   ends,
+              voters,  list_of(waiting)};
+  if (!ride.empty()) out.push_back(bytes_of(ride));
+  return out;
 }
 
 Grant Grant::of(const json& from) {
@@ -123,6 +129,7 @@
   for (const json& w : in.any()) {
     out.waiting.emplace_back(text_of(at(w, 0), kMostName), text_of(at(w, 1), kMostReason));
   }
+  out.ride = in.ride();
   want(out.outcomes.size() <= PolicyLog::kMostOutcomes && out.waiting.size() <= kMostWaiting + 1);
   return out;
 }
--- a/fleet/agreement_messages.h
+++ b/fleet/agreement_messages.h
@@ -40,6 +40,7 @@
   bool leaving = false;
   uint64_t ended = 0;  // so many changes' ends it has heard of
   nlohmann::json ask;  // of its staff; null: nothing
+  std::string ride;    // of its rider; empty: nothing, and not in the message
 
   nlohmann::json packed() const;
   static Renew of(const nlohmann::json& from);
@@ -61,6 +62,7 @@
   std::deque<Outcome> outcomes;  // the last of them
   std::set<std::string> voters;
   std::vector<std::pair<std::string, std::string>> waiting;  // for whom, and why
+  std::string ride;  // to its rider; empty: nothing, and not in the message
 
   nlohmann::json packed() const;
   static Grant of(const nlohmann::json& from);
--- a/fleet/agreement_relay.cpp
+++ b/fleet/agreement_relay.cpp
@@ -45,6 +45,7 @@
     ask_->told_term = leader_term_;
     ask_->told_stamp = leader_stamp_;
   }
+  if (settings_.rider != nullptr) r.ride = settings_.rider->ask(now);
   sent_[number_] = now;
   if (sent_.size() > kMostSent) sent_.erase(sent_.begin());
   return r;
@@ -98,6 +99,10 @@
   if (bound_) return shut("this folder said yes to " + answer_ + ", which this program cannot hold: " + no_);
   if (!steady) return shut("its clock and the leader's differ by more than 1 in 500");
   const Time until = asked + g.lease;
+  if (g.lease > 0 && !g.ride.empty() && settings_.rider != nullptr &&
+      settings_.rider->took(now, g.term, g.ride, until)) {
+    renew_at_ = std::min(renew_at_, now + settings_.period / 8);  // the leader hears that it is taken
+  }
   if (g.lease == 0 || until <= lease_until_ || until <= now) return;
   if (lease_until_ == 0) {
     word("policy_open", "takes messages on under version " + std::to_string(held_.version));
--- a/fleet/budget_holder.cpp
+++ b/fleet/budget_holder.cpp
@@ -1,5 +1,7 @@
 #include "budget_holder.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 
@@ -172,4 +174,18 @@
   return out;
 }
 
+uint64_t BudgetHolder::fingerprint(Time now) const {
+  uint64_t out = settings_.life;
+  const auto mix = [&](auto v) { out = XXH64(&v, sizeof v, out); };
+  for (const uint64_t v : {version_, heard_reign_, heard_, table_reign_, number_}) mix(v);
+  mix(until_ <= now ? 0 : (until_ - now) / kMs);
+  for (const auto& [name, e] : entries_) {
+    mix(e.whole);
+    mix(e.word.per_s);
+    mix(e.version);
+    mix(may_of(now, e));
+  }
+  return out;
+}
+
 }  // namespace umberhoist::fleet
--- a/fleet/budget_holder.h
+++ b/fleet/budget_holder.h
@@ -56,8 +56,8 @@
   std::vector<Change> changes(Time now);
   Time next() const;  // when changes() is due; kNever: nothing ends
   std::map<std::string, Standing> standing(Time now) const;
-  uint64_t reign() const { return table_reign_; }
-  uint64_t taken() const { return taken_; }
+  uint64_t fingerprint(Time now) const;  // of all that decides what comes next, but for what was asked since
+  uint64_t taken() const { return taken_; }  // tables
 
  private:
   struct Entry {
--- a/fleet/division.cpp
+++ b/fleet/division.cpp
@@ -230,16 +230,4 @@
   b.until = std::min(b.until, s.turn_until);
 }
 
-Divider::Counts Divider::counts() const {
-  Counts out = counts_;
-  out.budgets = budgets_.size();
-  for (const auto& [name, lives] : relays_) {
-    for (const Life& life : lives) {
-      out.out += static_cast<uint64_t>(
-          std::ranges::count_if(life.shares, [](const auto& entry) { return entry.second.most > 0; }));
-    }
-  }
-  return out;
-}
-
 }  // namespace umberhoist::fleet
--- a/fleet/division.h
+++ b/fleet/division.h
@@ -77,9 +77,7 @@
 
   uint64_t reign() const { return reign_; }
   Counts counts() const;
-  // For audits: what is counted as out of a budget, floors among it, and the whole in force.
-  double out(Time now, uint64_t budget);
-  double whole(Time now, uint64_t budget);
+  uint64_t fingerprint(Time now) const;  // of all that decides what comes next
 
  private:
   struct Share {  // of one life in one budget
@@ -109,7 +107,7 @@
   };
   struct Budget {
     double whole = 0;   // in force; 0: not known
-    double floors = 0;  // of all names
+    double floors = 0;  // of all names, or what is kept back for them
     double parts = 0;   // that may be held
     size_t asked = 0;   // lives with a share in it
     bool stale = true;
@@ -137,6 +135,7 @@
   double floor_of(const std::vector<Life>& lives, uint64_t budget, double whole) const;
   void begin_turn(Time now, uint64_t budget, Share& s);
   double least() const;  // a second: one call a term
+  double reserve(double whole) const;
   double part_for(const Budget& b, const Share& s) const;
   std::optional<Parts> give(Time now, Life& life);
 
--- a/fleet/division_weigh.cpp
+++ b/fleet/division_weigh.cpp
@@ -24,6 +24,13 @@
   return out;
 }
 
+// Of a whole that is a little too small for floors: so much is kept back that a raise which brings them fits
+// what is out already, whoever learns of it first.
+double Divider::reserve(double whole) const {
+  const double begins = least() * static_cast<double>(settings_.names.size()) / settings_.floor;
+  return whole < begins ? std::max(0.0, whole - (1 - settings_.floor) * begins) : 0;
+}
+
 Divider::Budget& Divider::fresh(Time now, uint64_t budget) {
   Budget& b = budgets_.at(budget);
   if (b.stale || now >= b.until) weigh(now, budget, b);
@@ -68,6 +75,7 @@
     b.floors += floor;
     if (known != relays_.end()) floors[&known->first] = floor;
   }
+  b.floors = std::max(b.floors, reserve(b.whole));
   if (settings_.plant == Plant::kFloorsLeftOut) b.floors = 0;
   const double pool = std::max(0.0, b.whole - b.floors - absent);
   if (by.empty() || pool <= 0) return;
--- a/fleet/leadership.cpp
+++ b/fleet/leadership.cpp
@@ -22,8 +22,8 @@
     // Whatever leaders before have granted is over a term after this, as they were confirmed before it.
     reign_ = raft_.term();
     lessees_.clear();
-    for (const std::string& name : settings_.names)
-      lessees_[name].lease_until = now + surely_over(settings_.term);
+    clear_ = now + surely_over(settings_.term);
+    for (const std::string& name : settings_.names) lessees_[name].lease_until = clear_;
     busy_.clear();
     deciding_.clear();
     first_proposed_ = false;
@@ -77,6 +77,7 @@
   p.version = r.version;
   p.cannot = r.cannot;
   if (r.raft_term == reign_ && r.echo_term == reign_) p.echo = std::max(p.echo, r.echo_stamp);
+  if (r.echo_term == reign_) p.reached = std::max(p.reached, r.echo_stamp);
   if (r.leaving) p.lease_until = std::min(p.lease_until, now);
   const auto& change = log_.change();
   if (change && r.answer == change->id) {
@@ -133,7 +134,13 @@
   }
   g.waiting = waiting(now);
   g.lease = lease_for(now, p, r);
-  if (g.lease > 0) p.lease_until = std::max(p.lease_until, now + surely_over(g.lease));
+  if (g.lease <= 0) return g;
+  const Time over = now + surely_over(g.lease);
+  p.lease_until = std::max(p.lease_until, over);
+  if (settings_.rider != nullptr && !r.ride.empty()) {
+    g.ride =
+        settings_.rider->answer(now, {r.origin, reign_, clear_, over, static_cast<Time>(p.reached)}, r.ride);
+  }
   return g;
 }
 
--- a/fleet/leadership.h
+++ b/fleet/leadership.h
@@ -35,7 +35,8 @@
     Time heard = -1;
     Time lease_until = 0;  // surely over after
     uint64_t nonce = 0;
-    uint64_t echo = 0;  // it knew this reign after
+    uint64_t echo = 0;     // it knew this reign after, as a voter
+    uint64_t reached = 0;  // what was said then, in this reign, has reached it
     uint64_t version = 0;
     std::string cannot;
     std::string yes;  // to which change
@@ -59,6 +60,7 @@
   Consensus& raft_;
   const PolicyLog& log_;
   uint64_t reign_ = 0;  // the term in which it leads; 0: it does not
+  Time clear_ = 0;      // what was granted before it is surely over after
   std::map<std::string, Lessee> lessees_;
   std::string busy_;      // proposed in this reign, not committed yet
   std::string deciding_;  // its decision or abort is
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -91,7 +91,7 @@
 }
 
 void read(TableReader& in, SimSpec& out) {
-  in.text("protocol", out.protocol, {"heartbeat", "membership", "agreement"});
+  in.text("protocol", out.protocol, {"heartbeat", "membership", "agreement", "budgets"});
   in.number("period_ms", out.period_ms);
   in.flag("plain", out.plain);
   in.number("changes", out.changes);
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -81,7 +81,7 @@
 };
 
 struct SimSpec {                        // on the simulated clock
-  std::string protocol = "membership";  // heartbeat, membership, agreement
+  std::string protocol = "membership";  // heartbeat, membership, agreement, budgets
   double period_ms = 500;
   bool plain = false;   // membership without suspicion's health and without comparing whole views
   int changes = 0;      // agreement: of policy, spread over the play
--- a/lab/sim.cpp
+++ b/lab/sim.cpp
@@ -5,6 +5,7 @@
 
 #include "../fleet/heartbeat.h"
 #include "sim_agreement.h"
+#include "sim_budgets.h"
 
 namespace umberhoist::lab {
 
@@ -153,6 +154,7 @@
 json simulate(const Scenario& scenario, uint64_t seed) {
   if (scenario.sim.protocol == "membership") return simulate_membership(scenario, seed);
   if (scenario.sim.protocol == "agreement") return simulate_agreement(scenario, seed);
+  if (scenario.sim.protocol == "budgets") return simulate_budgets(scenario, seed);
   const Plan plan = draw(scenario, seed);
   std::vector<std::string> names;
   for (int i = 0; i < scenario.relays; ++i) names.push_back(member_name(i));
