--- a/access/rules.h
+++ b/access/rules.h
@@ -44,9 +44,11 @@
 inline constexpr FaultKind kNamesMoved{
     "rules_names_moved",
     "only append to settings.azs and settings.kinds while rules hold messages, or start the relay again"};
-inline constexpr const FaultKind* kFaults[] = {
-    &kMalformed, &kUnknownKey, &kUnknownSay, &kUnknownName, &kBadPartner, &kBadId,     &kIdTwice,
-    &kBadRate,   &kShadowed,   &kTooMany,    &kNoCustomer,  &kNoRegion,   &kNamesMoved};
+inline constexpr FaultKind kHitsNewer{"access_hits_newer",
+                                      "run the program that wrote the folder, or a newer one"};
+inline constexpr FaultKind kAccessFaults[] = {
+    kMalformed, kUnknownKey, kUnknownSay, kUnknownName, kBadPartner, kBadId,      kIdTwice,
+    kBadRate,   kShadowed,   kTooMany,    kNoCustomer,  kNoRegion,   kNamesMoved, kHitsNewer};
 
 // The settings' names, in the order of their numbers.
 struct Names {
--- a/relay/journal_hits.h
+++ b/relay/journal_hits.h
@@ -19,9 +19,6 @@
 
 namespace firspool::relay {
 
-inline constexpr umberhoist::FaultKind kHitsNewer{"access_hits_newer",
-                                                  "run the program that wrote the folder, or a newer one"};
-
 class JournalHits {
  public:
   // What a file's records say, in their order.
