--- a/feeds/reconcile.cpp
+++ b/feeds/reconcile.cpp
@@ -88,7 +88,10 @@
     return out;
   }
   Positions taken = read_cursor(*shown, cluster, feed).taken;
+  const Positions said = taken;
+  for (const auto& [origin, number] : remembered) taken.emplace(origin, 0);
   Start out = settle(taken, holdings);
+  taken = said;
   // What a rolled back folder cannot bear out is not remembered.
   std::erase_if(taken, [&](const auto& entry) {
     const Log* log = find(holdings, entry.first);
--- a/feeds/reconcile.h
+++ b/feeds/reconcile.h
@@ -16,6 +16,8 @@
 //   subscriber
 //     other logs, this one no more                |              |   known), gone        |   acknowledges
 //     without it
+//     (an origin that is remembered and not shown |              | from 1                |
+//     has t = 0)                                  |              |                       |
 //   ahead of the log's end (a folder rolled back) | t, not read  | refused, rolled_back  | as it was
 //   its relay does not answer                     | t            | missing, unreachable  |
 //   its relay is not in the view                  | t            | missing, left         |
--- a/feeds/register.cpp
+++ b/feeds/register.cpp
@@ -154,7 +154,7 @@
     Held held = held_[m.feed];
     if (m.ballot >= held.promised || settings_.plant == Plant::kFencedTaken) {
       if (std::pair(held.accepted, held.turn) < std::pair(m.ballot, m.turn)) {
-        held.promised = std::max(held.promised, m.ballot);
+        held.promised = m.ballot;
         held.accepted = m.ballot;
         held.turn = m.turn;
         held.positions = m.positions;
--- a/feeds/register.h
+++ b/feeds/register.h
@@ -71,8 +71,9 @@
 
  private:
   static constexpr uint64_t kFormat = 1;
-  enum Kind : uint64_t { kFolder, kOther, kWhole, kHeld, kGone };  // of the file's records
-  struct Peer {                                                    // while this one recovers
+  // Kinds of the file's records; numbers, as the library takes an enumeration for a signed one.
+  static constexpr uint64_t kFolder = 0, kOther = 1, kWhole = 2, kHeld = 3, kGone = 4;
+  struct Peer {  // while this one recovers
     Feed after;
     std::map<Feed, Held> held;
     bool done = false;
--- a/feeds/service.cpp
+++ b/feeds/service.cpp
@@ -163,7 +163,7 @@
   Time out = register_ ? register_->next() : fleet::kNever;
   for (const auto& [number, serving] : sessions_) {
     out = std::min(out, serving.session.next());
-    if (serving.holdings && !serving.start) out = std::min(out, serving.holdings->next());
+    if (serving.session.state() == Session::State::kPromised) out = std::min(out, serving.holdings->next());
   }
   for (const Read& read : reads_) out = std::min(out, read.collect->next());
   if (!waiting_.empty()) {
