Let the module hear a message's ways, and the parts that a fleet grants

Cause: customers' access rules and the fleet's budgets end in the module: which way a message may take, in which order, and how much this relay may send of a whole that all share.

Change: Arrival.ways is one gate of each send (first, repeat, batch mate); a higher rank goes only where no lower one can be taken; without any listed way the message is given up at once. Granted paces destinations and limits out of hard buckets, sets a tenant's rate, and the door's queues see both.

--- a/include/firspool/events.h
+++ b/include/firspool/events.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "firspool/settings.h"
+#include "firspool/ways.h"
 
 namespace firspool {
 
@@ -49,7 +50,8 @@
   Time ran_sent = 0;  // when the first such attempt was sent
   int ran_zone = 0;
   bool pause = false;  // its last attempt may have ended just now: a repeat waits, as it would have there
-  bool room = true;    // the caller can keep it; else it is refused
+  std::shared_ptr<const Ways> ways;  // null: by all ways
+  bool room = true;                  // the caller can keep it; else it is refused
 };
 
 enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot };
@@ -111,6 +113,6 @@
 };
 
 using Event = std::variant<MembersChanged, Arrival, AttemptEnded, ProbeEnded, Withdrawn, TimerFired, PeerNote,
-                           Closing, DestinationMemory, Retuned, WaitTold>;
+                           Closing, DestinationMemory, Retuned, WaitTold, Granted>;
 
 }  // namespace firspool
--- a/include/firspool/ways.h
+++ b/include/firspool/ways.h
@@ -28,7 +28,9 @@
 
 // This relay's part of a whole that the fleet shares, from now on; it takes the place of the guess whole / n.
 // A part is hard: attempts pay for it out of a bucket of max(1, per_s * burst_s) calls that begins empty, and
-// none goes out beyond it.
+// none goes out beyond it; each message of a shared call pays. A destination's part is of all its routes
+// together. A limit sends nothing until it is granted. Tenants' parts are forgotten where their indices
+// shift.
 struct Granted {
   enum class Of { kDestination, kTenant, kLimit };
   Of of = Of::kDestination;
--- a/src/connections.h
+++ b/src/connections.h
@@ -31,8 +31,7 @@
     return host.calls == 0 && !fresh ? idle : 0;
   }
 
-  // Idle connections can be dropped unseen: the age at which they are still used shrinks when calls on them
-  // are lost more often than on fresh ones. Where it errs it costs handshakes.
+  // Idle ones can be dropped unseen: where calls on them are lost more than on fresh ones, the age shrinks.
   void learn(Outcome outcome, const Attempt& attempt, Kind& k, Lane& l) {
     // Of a destination that is down no call is connected: only where another is served next a table was full.
     if (outcome == Outcome::kConnectFailed && l.out_since == 0) ++l.unconnected;
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -1,7 +1,6 @@
 // Dispatch: which waiting messages go now, to which endpoint, and for how long an answer is waited for.
 #pragma once
 
-#include "admission.h"
 #include "connections.h"
 #include "limits.h"
 #include "messages.h"
@@ -17,23 +16,22 @@
 
 class Dispatch {
  public:
-  Dispatch(State& state, const Messages& messages, Connections& connections, Admission& admission)
-      : s_(state), messages_(messages), connections_(connections), admission_(admission) {}
+  Dispatch(State& state, const Messages& messages, Connections& connections, Limits& limits)
+      : s_(state), messages_(messages), connections_(connections), limits_(limits) {}
 
   void send(std::vector<Candidate> waiting) {
     // First within each destination's share; slots that no other waits for then go to anyone.
     for (const bool bound : {true, false}) {
       std::vector<Candidate> left;
       for (const Candidate& c : waiting) {
-        Message& m = s_.messages.at(c.id);
+        Message& m = s_.messages.at(std::get<uint64_t>(c));
         if (m.out) continue;  // went along in another message's call
         Destination& d = s_.destinations[m.destination];
         if (static_cast<int>(s_.calls.size()) >= s_.set.slots) return free_slots();
-        if (bound && d.calls >= slot_share(d)) {
-          left.push_back(c);
-        } else {
+        if (!bound || d.calls < slot_share(d))
           try_send(m, d, waiting);
-        }
+        else
+          left.push_back(c);
       }
       waiting = std::move(left);
     }
@@ -48,7 +46,6 @@
   }
 
   // Messages wait and no slot is free: stop waiting for overdue calls, once such calls proved lost, not slow.
-  // Guards against lost answers filling the slots; harms where a destination has only now become slow.
   void free_slots() {
     if (!s_.set.may_cancel || s_.hope > kHopeLeast) return;
     for (auto& [id, attempt] : s_.attempts) {
@@ -65,13 +62,13 @@
     if (m.repeat && d.tokens < kToken) return;
     if (s_.closing - s_.now < s_.latency_of(d).suspicious()) return;
     Host* host = choose(m, d);
-    if (host == nullptr || !admission_.may_scout(*host)) return;
+    if (host == nullptr || !limits_.may_scout(*host)) return;
     Lane& l = *host->lane;
     const Attempt call{host->member.endpoint, s_.now, ++last_call_, false, l.out(), connections_.open(*host)};
     host->sent.add(s_.now);
     ++host->calls;
     ++d.calls;
-    admission_.charge(l);
+    limits_.charge(l);
     send(m, d, *host, call);
     if (call.scout) return;  // one message is scout enough
     // What goes to one endpoint in one round may share a call: one slot, one place under the limit, one fate.
@@ -79,9 +76,10 @@
     int room = kind < s_.set.kinds.size() ? s_.set.kinds[kind].batch - 1 : 0;
     for (const Candidate& c : waiting) {
       if (room <= 0) return;
-      Message& other = s_.messages.at(c.id);
+      Message& other = s_.messages.at(std::get<uint64_t>(c));
       if (other.out || other.destination != m.destination) continue;
-      if ((other.repeat && d.tokens < kToken) || !messages_.in_scope(other, host->member)) continue;
+      if ((other.repeat && d.tokens < kToken) || messages_.granted(other, *host) > s_.now) continue;
+      if (!messages_.may_go(other, *host, messages_.best_way(other, d))) continue;
       send(other, d, *host, call);
       --room;
     }
@@ -89,27 +87,24 @@
 
   Host* choose(const Message& m, const Destination& d) {
     Host* best = nullptr;
-    double best_cost = 0;
+    std::pair<int, double> best_cost;
+    const Way way = messages_.best_way(m, d);
     for (const auto& [endpoint, host] : d.hosts) {
-      if (!host->ready || !messages_.in_scope(m, host->member)) continue;
-      const Time at = admission_.admits(*host->lane);
-      if (at > s_.now) {
-        s_.wake(at);
-        continue;
-      }
-      const double cost = cost_of(*host);
-      if (best == nullptr || cost < best_cost) {
-        best = host;
-        best_cost = cost;
-      }
+      if (!host->ready() || !messages_.may_go(m, *host, way)) continue;
+      const Time at = std::max(limits_.admits(*host->lane), messages_.granted(m, *host));
+      s_.wake(at);
+      if (at > s_.now) continue;
+      const std::pair cost{messages_.way(m, host->member).rank, cost_of(*host)};
+      if (best != nullptr && best_cost <= cost) continue;
+      best = host;
+      best_cost = cost;
     }
     return best;
   }
 
   double cost_of(const Host& host) {
     const Latency& latency = host.latency.seen > 0 ? host.latency : s_.latency_of(host);
-    // The other relays' calls are not seen, but they do as this one does: where all took the endpoint that
-    // looks best to each alone, the whole fleet would take the same.
+    // The other relays' calls are not seen, but they do as this one does: the same would look best to all.
     const double others = std::max(0, s_.set.relays - kSeen) * host.sent.per_second(s_.now) * latency.mean;
     double cost = latency.mean * (1 + 0.5 * (host.calls + others)) / std::max(0.1, host.lane->room);
     if (host.member.zone != s_.set.zone) cost += kSecondsPerPrice * s_.set.price_cross_zone;
@@ -129,6 +124,7 @@
   void send(Message& m, Destination& d, const Host& host, const Attempt& attempt) {
     host.lane->scouts += attempt.scout;
     if (m.repeat) d.tokens -= kToken;
+    messages_.pay(m, host);
     m.repeat = false;
     m.out = true;
     ++s_.calls[attempt.call];
@@ -139,7 +135,7 @@
   State& s_;
   const Messages& messages_;
   Connections& connections_;
-  Admission& admission_;
+  Limits& limits_;
   uint64_t last_call_ = 0;
 };
 
--- a/src/members.h
+++ b/src/members.h
@@ -17,17 +17,13 @@
       return;
     }
     if (watching_) watch_pause_ = kSecond / 4;
-    if (e.form == MembersChanged::Form::kFull) {
-      for (auto& [id, host] : s_.hosts) {
-        host.ready = false;
-        host.gone = true;
-      }
-    }
+    if (e.form == MembersChanged::Form::kFull)
+      for (auto& [id, host] : s_.hosts) host.member.listing = Listing::kGone;
     if (!e.members) return;
     for (const Member& m : *e.members) list(m);
     // All relays hear at once that a destination can be reached again, with messages waiting in each of them.
     for (auto& [key, l] : s_.lanes) {
-      const auto ready = [&l = l](const auto& at) { return at.second.lane == &l && at.second.ready; };
+      const auto ready = [&l = l](const auto& at) { return at.second.lane == &l && at.second.ready(); };
       const bool was = std::exchange(l.reachable, std::ranges::any_of(s_.hosts, ready));
       if (l.reachable && !was && l.steered) l.pacer = limits_.late_start(s_.now);
     }
@@ -36,7 +32,7 @@
   void forget_gone() {
     std::erase_if(s_.hosts, [this](const auto& entry) {
       const Host& host = entry.second;
-      if (!host.gone || host.calls > 0) return false;
+      if (!host.gone() || host.calls > 0) return false;
       s_.destinations[host.member.destination].hosts.erase(entry.first);
       return true;
     });
@@ -52,8 +48,8 @@
   void tell_avoided() {
     size_t count = 0;
     for (const auto& [endpoint, host] : s_.hosts) {
-      if (host.gone) continue;
-      count += !host.ready || host.lane->out() || host.avoid_until > s_.now;
+      if (host.gone()) continue;
+      count += !host.ready() || host.lane->out() || host.avoid_until > s_.now;
       s_.wake(host.avoid_until);
     }
     if (count != std::exchange(avoided_, count)) s_.tell(Avoided{count});
@@ -65,13 +61,12 @@
     Host& host = s_.hosts[m.endpoint];
     host.member = m;
     host.lane = &s_.lane({m.destination, apart ? m.endpoint : Endpoint{}});
-    host.ready = m.listing == Listing::kReady;
-    host.gone = m.listing == Listing::kGone;
     Destination& d = s_.destinations[m.destination];
     d.hosts[m.endpoint] = &host;
     d.kind = m.kind;
+    d.known.insert({m.zone, m.kind});
     d.remembered.destination = m.destination;
-    if (s_.set.weights != Weights::kNone && m.weight > 0 && host.ready) limits_.weigh(m.weight, *host.lane);
+    if (s_.set.weights != Weights::kNone && m.weight > 0 && host.ready()) limits_.weigh(m.weight, *host.lane);
   }
 
   State& s_;
--- a/src/messages.h
+++ b/src/messages.h
@@ -10,12 +10,8 @@
 constexpr int kUsualSeen = 5;     // so many served calls tell how long one usually takes
 constexpr Time kWindowMargin = 50 * kMs;  // a call is under way for a while before its host looks at its key
 
-struct Candidate {
-  double loss;  // worth for each second of a slot, negated: the most comes first
-  Time target;
-  uint64_t id;
-  auto operator<=>(const Candidate&) const = default;
-};
+// A message's worth for each second of a slot, negated: the most comes first; its target, and its number.
+using Candidate = std::tuple<double, Time, uint64_t>;
 
 class Messages {
  public:
@@ -82,9 +78,55 @@
     return m.attempts < m.rules->max_attempts && !(m.ran && m.rules->effect == Effect::kUnsafe);
   }
 
+  Way way(const Message& m, const Member& member) const {
+    return m.ways ? m.ways->of(member.zone, member.kind) : Way{};
+  }
+
+  // How long to stay away, where no endpoint is listed that its ways allow; kNever where none ever was.
+  Time shut(const Message& m, const Destination& d) const {
+    const auto open = [&](const auto& at) { return way(m, at.second->member).allowed; };
+    if (!m.ways || d.hosts.empty() || std::ranges::any_of(d.hosts, open)) return 0;
+    const auto was = [&](const auto& at) { return m.ways->of(at.first, at.second).allowed; };
+    return std::ranges::any_of(d.known, was) ? kSecond : kNever;
+  }
+
+  // The way of the lowest rank that can be taken at all, of several the fastest; not allowed: none can.
+  Way best_way(const Message& m, const Destination& d) const {
+    if (!m.ways) return {};
+    Way best{false, 0, -1};
+    const auto speed = [this](const Way& w) { return w.limit < 0 ? 1e9 : s_.limit(w.limit).per_s; };
+    for (const auto& [endpoint, host] : d.hosts) {
+      const bool up = host->ready() && !host->lane->out() && host->avoid_until <= s_.now;
+      if (!up || !in_scope(m, host->member) || host->lane->wait_until >= last_start(m, d)) continue;
+      const Way w = way(m, host->member);
+      if (!best.allowed || std::pair(w.rank, -speed(w)) < std::pair(best.rank, -speed(best))) best = w;
+    }
+    return best;
+  }
+
+  // Ways of a higher rank wait for the best one; one of a lower rank is asked for its outage's end.
+  bool may_go(const Message& m, const Host& host, const Way& best) const {
+    const int rank = way(m, host.member).rank;
+    const bool lower = rank < best.rank && host.avoid_until <= s_.now;
+    return in_scope(m, host.member) && (!best.allowed || rank == best.rank || lower);
+  }
+
+  // When the parts that an attempt pays out of let it go.
+  Time granted(const Message& m, const Host& host) const {
+    const int limit = way(m, host.member).limit;
+    const Time at = host.lane->part->held() ? host.lane->part->ready(s_.now) : s_.now;
+    return limit < 0 ? at : std::max(at, s_.limit(limit).ready(s_.now));
+  }
+  void pay(const Message& m, const Host& host) const {
+    const int limit = way(m, host.member).limit;
+    if (limit >= 0) s_.limit(limit).tokens -= 1;
+    if (host.lane->part->held()) host.lane->part->tokens -= 1;
+  }
+
   // A keyed message that may have run stays with the endpoints that remember its key.
   bool in_scope(const Message& m, const Member& member) const {
     const ClassSettings& c = *m.rules;
+    if (!way(m, member).allowed) return false;
     if (!m.ran || c.effect != Effect::kKeyed) return true;
     if (c.key_scope == KeyScope::kCell) return member.destination == m.destination;
     return c.key_scope == KeyScope::kAll || member.zone == m.ran_zone;
@@ -114,10 +156,8 @@
     std::vector<Candidate> list;
     for (const auto& [id, m] : s_.messages) {
       if (m.out) continue;
-      if (m.not_before > s_.now) {
-        s_.wake(m.not_before);
-        continue;
-      }
+      s_.wake(m.not_before);
+      if (m.not_before > s_.now) continue;
       const auto d = s_.destinations.find(m.destination);
       if (d == s_.destinations.end() || d->second.hosts.empty() || !has_turn(m)) continue;
       const double latency = s_.latency_of(d->second).mean;
@@ -130,11 +170,12 @@
  private:
   void pause(Message& m) { m.not_before = s_.now + s_.random.between(kPauseLeast, kPauseMost); }
 
-  // What a tenant sends beyond its quota is worth little; this relay's part of it is taken as an even one.
+  // What a tenant sends beyond its quota is worth little. A part that was not granted is taken as even.
   double tenant_share(int tenant) {
     if (tenant < 0 || tenant >= static_cast<int>(s_.set.tenants.size())) return 1;
-    const double quota = s_.set.tenants[tenant].quota_per_s / s_.set.relays;
-    if (quota <= 0) return 1;
+    const Part& part = s_.parts[{Granted::Of::kTenant, tenant}];
+    const double quota = part.held() ? part.per_s : s_.set.tenants[tenant].quota_per_s / s_.set.relays;
+    if (quota <= 0) return part.held() ? s_.set.over_share_worth : 1;
     Pacer& pacer = s_.tenant_pacers.try_emplace(tenant, Pacer{2 * quota, s_.now}).first->second;
     pacer.refill(s_.now, quota, std::max(1.0, 2 * quota));
     if (pacer.tokens < 1) return s_.set.over_share_worth;
--- a/src/outages.h
+++ b/src/outages.h
@@ -33,14 +33,9 @@
   void remember() {
     for (auto& [number, d] : s_.destinations) {
       DestinationMemory next{number, d.tokens - d.tokens % kToken};
-      const auto found = s_.lanes.find({number, Endpoint{}});
-      if (found != s_.lanes.end() && found->second.out_since != 0 && !found->second.suspected) {
-        const Lane& l = found->second;
-        next = {number, next.tokens, l.out_since, l.back_since, l.base};
-      }
-      if (next == d.remembered) continue;
-      d.remembered = next;
-      s_.tell(Remember{next});
+      const Lane& l = s_.lane({number, Endpoint{}});
+      if (l.out_since != 0 && !l.suspected) next = {number, next.tokens, l.out_since, l.back_since, l.base};
+      if (next != std::exchange(d.remembered, next)) s_.tell(Remember{next});
     }
   }
 
@@ -73,8 +68,7 @@
       l.back_since = 0;
       log(l, "fails again");
     }
-    // A wait longer than a limit's span tells when a shut destination opens: its return begins there. Several
-    // shorter ones in a row are a limit's, at a destination that others use too.
+    // A wait longer than a limit's span tells when a shut destination opens: its return begins there.
     if (told > kShutSpan && l.out_since == 0) {
       go_out(l, "told to wait long", false);
       l.back_since = l.cold.at = l.wait_until;
@@ -110,11 +104,9 @@
     }
     const bool dead = l.hard >= kDeadStreak && s_.now - l.hard_since >= kDeadSpan;
     const bool shut = l.streak >= kShutStreak && l.streak_since <= s_.now - kShutSpan;
-    if (dead || shut) {
-      go_out(l, dead ? "calls fail" : "all refused", false);
-    } else if (overdue >= kOverdue) {
-      go_out(l, "calls overdue", true);
-    }
+    const bool proved = dead || shut;
+    const char* evidence = dead ? "calls fail" : shut ? "all refused" : "calls overdue";
+    if (proved || overdue >= kOverdue) go_out(l, evidence, !proved);
     return l.streak != 0 || overdue != 0;
   }
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,5 +1,4 @@
-// The module's step: folds what happened into its parts, then lets each decide once. Types, events, actions
-// and the contract: include/firspool/policy.h. The parts: the headers beside this file.
+// The module's step: folds what happened into its parts, the headers beside this, then lets each decide once.
 #include "firspool/policy.h"
 
 #include "dispatch.h"
@@ -44,11 +43,10 @@
   void fold(const PeerNote&) {}
   void fold(const DestinationMemory& e) { outages_.recall(e); }
   void fold(const WaitTold& e) { limits_.wait(e.until, s_.lane({e.destination, e.endpoint})); }
+  void fold(const Granted& e) { s_.parts[{e.of, e.number}].grant(e, s_.now); }
   void fold(const Closing& e) { s_.closing = e.at; }
-  void fold(const ProbeEnded& e) { admission_.probed(e); }
-  void fold(const TimerFired& e) {
-    if (static_cast<Time>(e.token) == armed_) armed_ = kNever;
-  }
+  void fold(const ProbeEnded& e) { limits_.probed(e); }
+  void fold(const TimerFired& e) { armed_ = static_cast<Time>(e.token) == armed_ ? kNever : armed_; }
 
   void fold(const AttemptEnded& e) {
     const auto found = s_.attempts.extract({e.id, e.attempt});
@@ -97,8 +95,7 @@
       limits_.served(l);
       outages_.served(attempt, l);
     } else {
-      // Lost answers are no sign of slowness: a time-out teaches only where overdue calls are served after
-      // all.
+      // Lost answers are no sign of slowness: time-outs teach only where overdue calls are served after all.
       if (late && s_.hope > kHopeLeast && l.last_served_sent < attempt.sent) learn_latency(d, kind, e.took);
       if (e.outcome != Outcome::kError) connections_.avoid(host);
       outages_.unserved(attempt, l, true, 0);
@@ -122,12 +119,11 @@
   State s_;
   Limits limits_{s_};
   Outages outages_{s_, limits_};
-  Admission admission_{s_};
   Connections connections_{s_};
   Members members_{s_, limits_};
   Messages messages_{s_};
   Refusals refusals_{s_, messages_};
-  Dispatch dispatch_{s_, messages_, connections_, admission_};
+  Dispatch dispatch_{s_, messages_, connections_, limits_};
   Time armed_ = kNever;
 };
 
--- a/src/refusals.h
+++ b/src/refusals.h
@@ -9,8 +9,7 @@
 constexpr double kShedAbove = 0.9;  // part of max_open above which the least worth is given back
 constexpr double kUnknown = 0;
 constexpr double kOpenShare = 0.5;  // a destination with more of the places than this part makes room first
-// Two refusals in a row cut a pace so far below what the limit takes.
-constexpr double kDrainDoubt = 1 / (kLimitCut * kAgainCut);
+constexpr double kDrainDoubt = 1 / (kLimitCut * kAgainCut);  // two refusals in a row cut a pace too far
 
 class Refusals {
  public:
@@ -20,32 +19,30 @@
   void settle() {
     for (auto& [number, d] : s_.destinations) {
       d.open = kNever;
-      for (const auto& [endpoint, host] : d.hosts) {
-        if (host->ready) d.open = std::min(d.open, host->lane->wait_until);
-      }
+      for (const auto& [endpoint, host] : d.hosts)
+        if (host->ready()) d.open = std::min(d.open, host->lane->wait_until);
       if (d.open == kNever) d.open = 0;
     }
-    std::vector<uint64_t> over;
     const Destination unlisted;
-    for (const auto& [id, m] : s_.messages) {
+    for (auto it = s_.messages.begin(); it != s_.messages.end();) {
+      const Message& m = (it++)->second;
       if (m.out) continue;
       const auto found = s_.destinations.find(m.destination);
       const Destination& d = found == s_.destinations.end() ? unlisted : found->second;
       const Time last = messages_.last_start(m, d);
-      if (!m.room || !messages_.may_repeat(m) || std::max({s_.now, m.not_before, d.open}) >= last) {
-        over.push_back(id);
+      if (const Time shut = messages_.shut(m, d); shut > 0) {
+        give_up(m, Reason::kTime, shut);
+      } else if (!m.room || !messages_.may_repeat(m)) {
+        give_up(m, m.room ? Reason::kAttempts : Reason::kRoom);
+      } else if (std::max({s_.now, m.not_before, d.open}) >= last) {
+        give_up(m, Reason::kTime);
       } else {
         s_.wake(last);
       }
     }
-    for (const uint64_t id : over) {
-      const Message& m = s_.messages.at(id);
-      give_up(m, !m.room ? Reason::kRoom : messages_.may_repeat(m) ? Reason::kTime : Reason::kAttempts);
-    }
   }
 
-  // Gives the least worth back when there is hardly room for more: of what a destination holds over its share
-  // before any other, so that a hot one cannot take the last places from the rest.
+  // Gives the least worth back where room is short, first of what a destination holds over its share.
   void shed(double part) {
     const auto room = static_cast<size_t>(std::max(1.0, part * s_.set.max_open));
     if (s_.messages.size() <= room) return;
@@ -67,69 +64,72 @@
     }
   }
 
-  // In the order in which they go, those that cannot be sent in time even if their queue drains faster than
-  // it seems to are told so now, at the door or not, and not at their end. Failures play no part in it.
+  // Those that could not go in time even if their queue drained faster than it seems to are told so now.
   void turn_away(const std::vector<Candidate>& waiting) {
     struct Queue {
-      double rate = 0;
-      int ahead = 0;
+      double rate = kUnknown, ahead = 0;
+      Time turn() const { return rate <= kUnknown ? 0 : micros(ahead / rate); }
     };
-    std::map<int, Queue> queues;
+    std::map<int, Queue> queues, limits;
     for (const Candidate& c : waiting) {
-      const Message& m = s_.messages.at(c.id);
+      const Message& m = s_.messages.at(std::get<uint64_t>(c));
       if (m.out) continue;
       const Destination& d = s_.destinations.at(m.destination);
       const auto [it, first] = queues.try_emplace(m.destination);
       Queue& queue = it->second;
-      if (first) queue.rate = kDrainDoubt * drain_rate(d);
-      if (queue.rate == kUnknown) continue;
-      const Time turn = std::max(s_.now, d.open) + micros(queue.ahead / queue.rate);
-      if (turn < messages_.last_start(m, d)) {
+      if (first) queue = {kDrainDoubt * drain_rate(d), s_.part_of(d).owed()};
+      const int number = messages_.best_way(m, d).limit;
+      const Part& part = s_.limit(number);  // -1: never granted, and so no queue
+      Queue& limit = limits.try_emplace(number, Queue{kDrainDoubt * part.per_s, part.owed()}).first->second;
+      if (std::max(s_.now, d.open) + std::max(queue.turn(), limit.turn()) < messages_.last_start(m, d)) {
         ++queue.ahead;
+        ++limit.ahead;
       } else {
-        give_up(m, Reason::kQueue);
+        give_up(m, Reason::kQueue, limit.turn());
       }
     }
   }
 
  private:
-  void give_up(const Message& m, Reason reason) {
-    s_.tell(messages_.refusable(m) ? Action{Refuse{m.id, come_again(m, reason), reason}}
+  void give_up(const Message& m, Reason reason, Time wait = 0) {
+    s_.tell(messages_.refusable(m) ? Action{Refuse{m.id, come_again(m, reason, wait), reason}}
                                    : Action{Fail{m.id}});
     messages_.end(m);
   }
 
-  // When a client should come again: once what waits for its destination now should be served and a told wait
-  // is over, and not at once where places or room are short; at random, to keep clients out of step. Not told
-  // where the settings do not let it be heard, or where its time would be over by then.
-  Time come_again(const Message& m, Reason reason) {
+  // When a client should come again: once what waits for its destination should be served and a told wait is
+  // over, at random, to keep clients out of step. Not told where none hears it, or its time would be over.
+  Time come_again(const Message& m, Reason reason, Time wait) {
     const auto found = s_.destinations.find(m.destination);
-    if (!s_.set.retry_after_heard || found == s_.destinations.end()) return 0;
+    if (!s_.set.retry_after_heard || found == s_.destinations.end() || wait == kNever) return 0;
     const Destination& d = found->second;
     const auto ahead = std::ranges::count_if(s_.messages, [&m](const auto& other) {
       return other.second.destination == m.destination && !other.second.out;
     });
     double rate = drain_rate(d);
     for (const auto& [endpoint, host] : d.hosts) rate = std::max(rate, host->lane->served.per_second(s_.now));
+    if (s_.part_of(d).per_s > 0) rate = s_.part_of(d).per_s;
     const Time served = micros(static_cast<double>(ahead) / std::max(rate, 1 / seconds(s_.longest)));
-    const Time crowded = reason == Reason::kPlaces || reason == Reason::kRoom ? kPauseMost : 0;
+    const Time crowded = reason == Reason::kPlaces || reason == Reason::kRoom ? kPauseMost : wait;
     const Time least = std::min(std::max({served, d.open - s_.now, crowded}), s_.set.max_retry_after * 2 / 3);
     const Time after = std::min(least + s_.random.between(0, least / 2), s_.set.max_retry_after);
     return s_.now + after < m.due ? after : 0;
   }
 
-  // Calls a second that a destination's queue may drain at: by the pace that a served call restores, and with
-  // all slots at its usual answers. Troubles narrow both, but not for so long. kUnknown in an outage.
+  // Calls a second that a destination's queue may drain at, by the pace that a served call restores and with
+  // all slots at its usual answers: troubles narrow both, but not for so long. kUnknown in an outage.
   double drain_rate(const Destination& d) const {
     double paces = 0;
     for (const auto& [endpoint, host] : d.hosts) {
       const Lane& l = *host->lane;
       if (l.out_since != 0) return kUnknown;
-      if (!host->ready || paces < 0) continue;
-      if (l.pace == 0) paces = -1;  // no limit was met there
+      if (!host->ready() || paces < 0) continue;
+      if (l.own_pace() == 0) paces = -1;  // no limit was met there
       const double pace = std::max(l.pace, l.paced);
-      if (l.pace > 0) paces = l.key.second == Endpoint{} ? pace : paces + pace;
+      if (l.own_pace() > 0) paces = l.key.second == Endpoint{} ? pace : paces + pace;
     }
+    const double part = s_.part_of(d).per_s;
+    if (part >= 0) paces = paces > 0 ? std::min(paces, part) : part;
     if (d.usual.seen == 0) return paces > 0 ? paces : kUnknown;
     const double slots = s_.set.slots / std::max(1e-6, d.usual.mean);
     return paces > 0 ? std::min(paces, slots) : slots;
--- a/src/state.h
+++ b/src/state.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -18,6 +19,25 @@
 constexpr Time kPauseMost = 250 * kMs;  // of the random pauses that keep relays and repeats out of step
 constexpr double kHopeLeast = 0.35;     // a smaller share than this is not waited for when slots are short
 
+// What the fleet granted of a whole. The bucket begins empty: no part is spent twice by moving.
+struct Part : Pacer {
+  double per_s = -1;  // below 0: nothing was granted
+  double burst = 0;
+
+  bool held() const { return per_s >= 0; }
+  void grant(const Granted& e, Time now) {
+    refill(now, std::max(0.0, per_s), burst);  // by the old rate until now
+    per_s = e.per_s;
+    burst = per_s > 0 ? std::max(1.0, per_s * e.burst_s) : 0;
+  }
+  double owed() const { return per_s > 0 ? std::max(0.0, 1 - tokens) : 0; }
+  Time ready(Time now) {
+    if (per_s <= 0) return kNever;
+    refill(now, per_s, burst);
+    return Pacer::ready(now, per_s);
+  }
+};
+
 struct Attempt {
   Endpoint endpoint;
   Time sent = 0;
@@ -30,9 +50,8 @@
 struct Message : Arrival {  // its attempts, and whether one may have run, are counted on from its arrival
   Time target = 0;          // until then it earns its full worth
   double worth = 0;
-  bool out = false;
-  bool repeat = false;  // the next send pays a token
-  bool withdrawn = false;
+  bool out = false, withdrawn = false;
+  bool repeat = false;       // the next send pays a token
   bool resumed_ran = false;  // it may have run before a restart
   Time not_before = 0;
 };
@@ -42,6 +61,7 @@
 
 struct Lane {
   LaneKey key;
+  Part* part = nullptr;  // of the destination: all its routes share it
   Time wait_until = 0;
   double limit = 0;  // calls a second from all relays together; 0: unknown or none
   double pace = 0;   // own sends a second at most; 0: never refused
@@ -50,7 +70,7 @@
   Time reported_at = kNever;  // when the limit was last told
   bool steered = false;       // the pace follows what is reported of the limit, not the own refusals
   bool reachable = false;     // an endpoint of it is listed as ready
-  Pacer pacer;
+  Pacer pacer, cold;
   double room = 1;         // mean share of the limit that is left, as reported or from refusals
   bool bound = false;      // a message waited for the pace since the last served call
   int streak = 0;          // calls in a row that were not served
@@ -63,28 +83,29 @@
   bool suspected = false;  // the outage rests on overdue calls alone
   Time back_since = 0;     // first served call after the outage; 0: still out
   double base = 0;         // own served rate before it
-  Pacer cold;
-  int scouts = 0;                                            // out now
+  int scouts = 0;          // out now
   Time last_served_sent = std::numeric_limits<Time>::min();  // when the youngest served call was sent
-  bool probe_out = false;
-  bool probe_ok = false;
+  bool probe_out = false, probe_ok = false;
   Rate served;
 
+  // A part takes the place of the pace; where routes are apart each has its own beside it.
+  bool granted() const { return part->held() && key.second == Endpoint{}; }
+  double own_pace() const { return granted() ? 0 : pace; }
   bool out() const { return out_since != 0 && back_since == 0; }
 };
 
 struct Host {
   Member member;
   Lane* lane = nullptr;
-  bool ready = false;
-  bool gone = false;  // left the list: forgotten once no call is out
-  int calls = 0;
-  int conns = 0;
+  int calls = 0, conns = 0;
   Time last_used = 0;
   int fails = 0;
   Time avoid_until = 0;
   Latency latency;
   Rate sent;  // own calls
+
+  bool ready() const { return member.listing == Listing::kReady; }
+  bool gone() const { return member.listing == Listing::kGone; }  // forgotten once no call is out
 };
 
 // What is alike among destinations of a kind: the prior for one that this relay seldom calls.
@@ -96,9 +117,9 @@
 struct Destination {
   std::map<Endpoint, Host*> hosts;
   Time open = 0;  // told waits hold all its hosts until then
-  int kind = 0;
-  int tokens = kBucketCap;  // in parts
-  int calls = 0;
+  int kind = 0, calls = 0;
+  std::set<std::pair<int, int>> known;  // zones and kinds that were ever listed
+  int tokens = kBucketCap;              // in parts
   DestinationMemory remembered{0, kBucketCap};
   Latency usual;  // the pace without outliers, against which the slot share narrows
   Latency latency;
@@ -113,7 +134,10 @@
   void retune(const Settings& next) {
     if (next.classes.empty()) throw std::invalid_argument("settings hold no class");
     const auto same = [](const auto& a, const auto& b) { return a.name == b.name; };
-    if (!std::ranges::equal(set.tenants, next.tenants, same)) tenant_pacers.clear();
+    if (!std::ranges::equal(set.tenants, next.tenants, same)) {
+      tenant_pacers.clear();
+      std::erase_if(parts, [](const auto& entry) { return entry.first.first == Granted::Of::kTenant; });
+    }
     if (!std::ranges::equal(set.kinds, next.kinds, same)) kinds.clear();
     set = next;
     rules = message_rules(set);
@@ -122,15 +146,15 @@
   }
 
   void tell(Action action) { out->push_back(std::move(action)); }
-  void wake(Time at) {
-    if (at > now) wake_at = std::min(wake_at, at);
-  }
+  void wake(Time at) { wake_at = at > now ? std::min(wake_at, at) : wake_at; }
 
   Lane& lane(const LaneKey& key) {
-    Lane& l = lanes[key];
-    l.key = key;
-    return l;
+    const auto [it, fresh] = lanes.try_emplace(key);
+    if (fresh) it->second.part = &parts[{Granted::Of::kDestination, (it->second.key = key).first}];
+    return it->second;
   }
+  Part& part_of(const Destination& d) { return parts[{Granted::Of::kDestination, d.remembered.destination}]; }
+  Part& limit(int number) { return parts[{Granted::Of::kLimit, number}]; }
   const Latency& latency_of(const Destination& d) {
     return d.latency.seen > 0 ? d.latency : kinds[d.kind].latency;
   }
@@ -148,6 +172,7 @@
   double hope = 2 * kHopeLeast;  // share of the calls past the suspicious age that are served after all
   std::map<int, Kind> kinds;
   std::map<int, Pacer> tenant_pacers;
+  std::map<std::pair<Granted::Of, int>, Part> parts;  // of a tenant's quota only the rate counts
   std::map<uint64_t, Message> messages;
   std::map<std::pair<uint64_t, int>, Attempt> attempts;
   std::map<uint64_t, int> calls;  // calls out, with their messages that have no outcome yet
