Budgets: the relay's link, section fleet.budgets, BUDGETS and METRICS, umberhoistctl budgets

Wholes of destinations come from a nominal list and from reports, of tenants from their quotas, of rules from what limits() is told; demand from what comes and what waits. The relay does not make the link yet: that needs the module's event for its parts.

--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -8,6 +8,7 @@
 
 #include "access.h"
 #include "ask.h"
+#include "budgets.h"
 #include "fleet_view.h"
 #include "policy.h"
 
@@ -96,6 +97,8 @@
   double every_s = 1;
   view_command->add_flag("--watch", watch, "again and again");
   view_command->add_option("--every", every_s, "seconds")->check(CLI::PositiveNumber);
+  CLI::App* budgets =
+      to_relays(app.add_subcommand("budgets", "what each relay may spend of what they share"));
   CLI::App* policy = app.add_subcommand("policy", "the fleet's policy: one version, everywhere or nowhere");
   policy->require_subcommand(1);
   Proposal proposal;
@@ -136,6 +139,7 @@
   try {
     if (*status_command) return status(relays, as_json);
     if (*metrics_command) return metrics(relays.front(), as_json);
+    if (*budgets) return budgets_of(relays);
     if (*propose) return propose_policy(relays, proposal);
     if (*policy_now) return policy_status(relays);
     if (*ended) return policy_history(relays);
--- a/fleet/budget_holder.cpp
+++ b/fleet/budget_holder.cpp
@@ -39,8 +39,11 @@
   if (const auto e = entries_.find(name); e != entries_.end()) e->second.waiting = calls;
 }
 
-void BudgetHolder::stop() {
-  stopped_ = true;
+void BudgetHolder::begin(uint64_t life) {
+  settings_.life = life;
+  heard_reign_ = heard_ = table_reign_ = number_ = 0;
+  until_ = 0;
+  table_.clear();
   changed_ = true;
 }
 
@@ -68,7 +71,7 @@
     Entry& e = it->second;
     const double wanted = std::min(e.rate + e.waiting / term, e.whole);
     Demand word{e.hash, 0, 0};
-    if (wanted >= kLeastDemand && !stopped_ && ++known <= kMostBudgets) {
+    if (wanted >= kLeastDemand && ++known <= kMostBudgets) {
       word.per_s = rate_down(wanted);
       word.whole = e.told ? e.whole : 0;
     }
@@ -139,7 +142,6 @@
 }
 
 double BudgetHolder::may_of(Time now, const Entry& e) const {
-  if (stopped_) return 0;
   const auto known = table_.find(e.hash);
   return floor_of(e) + (now < until_ && known != table_.end() ? known->second.per_s : 0);
 }
@@ -168,7 +170,7 @@
   std::map<std::string, Standing> out;
   for (const auto& [name, e] : entries_) {
     if (e.whole <= 0) continue;
-    const double floor = stopped_ ? 0 : floor_of(e);
+    const double floor = floor_of(e);
     out[name] = {e.whole, floor, may_of(now, e) - floor, e.word.per_s};
   }
   return out;
--- a/fleet/budget_holder.h
+++ b/fleet/budget_holder.h
@@ -45,7 +45,8 @@
   void whole(const std::string& name, double per_s, bool told);
   void asked(const std::string& name, double calls);    // were wanted, whether or not they could go out
   void waiting(const std::string& name, double calls);  // wanted and not out, now
-  void stop();  // it spends nothing more: another process of this name does
+  // Another process of this name may have spent meanwhile: this one begins as a life of its own.
+  void begin(uint64_t life);
 
   Demands tell(Time now);
   // `until`: the end of the lease. Answers whether others wait for what it gave up: renew soon.
@@ -57,6 +58,9 @@
   Time next() const;  // when changes() is due; kNever: nothing ends
   std::map<std::string, Standing> standing(Time now) const;
   uint64_t fingerprint(Time now) const;  // of all that decides what comes next, but for what was asked since
+  uint64_t reign() const { return table_reign_; }  // of the leader that gave the table; 0: none
+  bool leased(Time now) const { return now < until_; }
+  size_t size() const { return entries_.size(); }
   uint64_t taken() const { return taken_; }  // tables
 
  private:
@@ -86,7 +90,6 @@
   Time until_ = 0;
   Time said_at_ = -1;  // changes() was asked last
   bool changed_ = false;
-  bool stopped_ = false;
   uint64_t taken_ = 0;
 };
 
--- a/relay/fleet_settings.cpp
+++ b/relay/fleet_settings.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <stdexcept>
 
+#include "budget_faults.h"
 #include "directory.h"
 
 namespace firspool::relay {
@@ -39,6 +40,24 @@
   }
 }
 
+double budget_number(const json& from, const std::string& key, double most) {
+  const json value = from.value(key, json());
+  if (!value.is_number() || !(value.get<double>() > 0 && value.get<double>() <= most)) {
+    throw umberhoist::Fault(kBudgetSettings, "fleet.budgets." + key,
+                            "is not a number above 0 and at most " + json(most).dump());
+  }
+  return value.get<double>();
+}
+
+FleetSettings::Budgets parse_budgets(const json& from) {
+  if (!from.is_object()) throw umberhoist::Fault(kBudgetSettings, "fleet.budgets", "is not an object");
+  for (const auto& [key, value] : from.items()) {
+    if (key == "floor" || key == "burst_ms") continue;
+    throw umberhoist::Fault(kBudgetSettings, "fleet.budgets." + key, "is not known");
+  }
+  return {budget_number(from, "floor", 1), static_cast<Time>(budget_number(from, "burst_ms", 10'000) * 1000)};
+}
+
 }  // namespace
 
 FleetSettings parse_fleet(const json& from, const std::string& name, bool allowed) {
@@ -56,6 +75,7 @@
   const std::string count = from.value("count", "settings");
   if (count != "settings" && count != "view") bad_fleet("count", "is neither settings nor view");
   out.count_view = count == "view";
+  if (from.contains("budgets")) out.budgets = parse_budgets(from["budgets"]);
   if (!from.contains("peers") || !from["peers"].is_array()) bad_fleet("peers", "is not a list");
   size_t own = 0, voters = 0;
   std::set<std::string> names;
--- a/relay/policy_link.cpp
+++ b/relay/policy_link.cpp
@@ -68,6 +68,7 @@
   s.own = own_;
   s.program = program_;
   s.check = host_.check;
+  s.rider = host_.rider;
   return s;
 }
 
--- /dev/null
+++ b/tests/budget_link_test.cpp
@@ -0,0 +1,141 @@
+// The relay's side of the fleet's budgets: its section, and what the module is told of its parts.
+#include "budget_link.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "budget.h"
+
+namespace firspool::relay {
+namespace {
+
+namespace fleet = umberhoist::fleet;
+using nlohmann::json;
+
+json section() {
+  return {{"cluster", "c"},
+          {"bind", "127.0.0.1:7946"},
+          {"peers",
+           {{{"name", "n0"}, {"address", "127.0.0.1:7946"}, {"voter", true}},
+            {{"name", "n1"}, {"address", "127.0.0.1:7947"}}}},
+          {"period_ms", 500},
+          {"term_ms", 3000},
+          {"budgets", {{"floor", 0.2}, {"burst_ms", 1500}}}};
+}
+
+TEST(BudgetSection, IsTurnedDownWholeWithItsKeyAndWhatToDo) {
+  EXPECT_EQ(parse_fleet(section(), "n0", true).budgets->burst, 1'500'000);
+  json none = section();
+  none.erase("budgets");
+  EXPECT_FALSE(parse_fleet(none, "n0", true).budgets);
+  const std::vector<std::pair<json, std::string>> bad = {
+      {{{"floor", 0}, {"burst_ms", 1000}}, "fleet.budgets.floor"},
+      {{{"floor", 1.1}, {"burst_ms", 1000}}, "fleet.budgets.floor"},
+      {{{"floor", 0.2}}, "fleet.budgets.burst_ms"},
+      {{{"floor", 0.2}, {"burst_ms", 10001}}, "fleet.budgets.burst_ms"},
+      {{{"floor", 0.2}, {"burst_ms", 1000}, {"part", 1}}, "fleet.budgets.part"},
+      {json("all"), "fleet.budgets"}};
+  for (const auto& [budgets, key] : bad) {
+    json whole = section();
+    whole["budgets"] = budgets;
+    try {
+      parse_fleet(whole, "n0", true);
+      ADD_FAILURE() << budgets;
+    } catch (const umberhoist::Fault& fault) {
+      EXPECT_EQ(fault.where(), key);
+      EXPECT_STREQ(fault.code(), "budget_settings");
+    }
+  }
+}
+
+TEST(BudgetFaults, EachHasItsRowForOnCallStaff) {
+  std::ifstream file(ON_CALL);
+  const std::string page{std::istreambuf_iterator<char>(file), {}};
+  for (const auto& kind : kBudgetFaults)
+    EXPECT_NE(page.find("| `" + std::string(kind.code) + "` |"), std::string::npos);
+}
+
+class BudgetLinkTest : public ::testing::Test {
+ protected:
+  BudgetLinkTest() {
+    config.fleet = parse_fleet(section(), "n0", true);
+    config.settings.tenants = {{"a", 0}, {"b", 20}};
+    config.settings.weights = Weights::kNominal;
+    config.settings.kinds = {{"plain", false, 1}, {"apart", true, 1}};
+    config.settings.report_limit = 0;
+    config.names = {{"z"}, {"plain", "apart"}};
+    BudgetLink::Host host;
+    host.grant = [this](const Granted& part) { parts[{part.of, part.number}] = part.per_s; };
+    host.waiting = [](const std::function<void(int)>& each) { each(7); };
+    link.emplace(io, config, directory, host);
+  }
+  void list(int64_t revision, const std::vector<std::pair<int, double>>& destinations) {
+    HostList all{revision, true, {}};
+    for (const auto& [number, weight] : destinations) {
+      ListedHost host;
+      host.id = "h" + std::to_string(number);
+      host.member.destination = number;
+      host.member.kind = number == 9 ? 1 : 0;
+      host.member.weight = weight;
+      all.hosts.push_back(host);
+    }
+    link->hear({*directory.apply(all)});
+  }
+  double part(Granted::Of of, int number) {
+    const auto it = parts.find({of, number});
+    return it == parts.end() ? -2 : it->second;
+  }
+
+  boost::asio::io_context io;
+  Config config;
+  Directory directory;
+  std::map<std::pair<Granted::Of, int>, double> parts;
+  std::optional<BudgetLink> link;
+};
+
+TEST_F(BudgetLinkTest, AloneItHasItsFloorOfWhatTheListOrAReportSays) {
+  EXPECT_DOUBLE_EQ(part(Granted::Of::kTenant, 1), 2);
+  EXPECT_EQ(part(Granted::Of::kTenant, 0), -2);  // without a quota there is no whole
+  list(1, {{7, 100}, {8, 2}, {9, 50}});
+  EXPECT_DOUBLE_EQ(part(Granted::Of::kDestination, 7), 10);
+  EXPECT_EQ(part(Granted::Of::kDestination, 8), 0);   // under a call a term there is no floor
+  EXPECT_EQ(part(Granted::Of::kDestination, 9), -2);  // routes apart have limits of their own
+  AttemptEnded end;
+  end.endpoint = directory.hosts().begin()->first;
+  end.report = {40};
+  link->hear({end});
+  EXPECT_DOUBLE_EQ(part(Granted::Of::kDestination, 7), 4);
+  list(2, {{8, 2}});
+  EXPECT_LT(part(Granted::Of::kDestination, 7), 0);  // not listed: no budget, and the module is told so
+  link->limits({{3, "rule/a/slow", 30}});
+  EXPECT_DOUBLE_EQ(part(Granted::Of::kLimit, 3), 3);
+  EXPECT_DOUBLE_EQ(link->may("rule/a/slow"), 3);
+  link->limits({});
+  EXPECT_LT(part(Granted::Of::kLimit, 3), 0);
+}
+
+TEST_F(BudgetLinkTest, ItTellsWhatIsWantedAndTheModuleHearsItsPartUntilTheLeaseIsOver) {
+  list(1, {{7, 100}, {8, 2}});
+  Arrival arrival;
+  arrival.destination = 8;
+  link->hear({arrival, arrival});
+  const fleet::Time now = lease_now();
+  const fleet::Demands told = fleet::Demands::of(link->ask(now));
+  ASSERT_EQ(told.words.size(), 2u);  // one waits for 7, two came for 8
+  for (const auto& word : told.words) EXPECT_GT(word.per_s, 0);
+  const fleet::Part granted{fleet::budget_hash("dest/7"), 35, 100};
+  link->took(now, 5, fleet::Parts{0, 1, false, told.number, {granted}}.packed(), now + 200 * fleet::kMs);
+  EXPECT_DOUBLE_EQ(part(Granted::Of::kDestination, 7), 45);
+  link->took(now, 5, "no parts", now + fleet::kSecond);
+  EXPECT_NE(link->lines().find("dest/7 whole=100.0 part=35.0 floor=10.0 demand="), std::string::npos)
+      << link->lines();
+  EXPECT_NE(link->figures().find("budget_unreadable_total 1\n"), std::string::npos);
+  io.run_for(std::chrono::milliseconds(400));  // nothing comes any more: its own timer says so
+  EXPECT_DOUBLE_EQ(part(Granted::Of::kDestination, 7), 10);
+}
+
+}  // namespace
+}  // namespace firspool::relay
