Budgets: the relay makes the link and hands the module its parts

Made only where the configuration has fleet.budgets: before anything is sent it tells the floors, at each turn what has lapsed, and with each renewal the demand (what came, what waits, what rules limit). A successor begins as a life of its own. Tenants' parts are told again after a change of the settings.

--- a/fleet/budget_holder.cpp
+++ b/fleet/budget_holder.cpp
@@ -35,8 +35,11 @@
   if (const auto e = entries_.find(name); e != entries_.end()) e->second.asked += calls;
 }
 
-void BudgetHolder::waiting(const std::string& name, double calls) {
-  if (const auto e = entries_.find(name); e != entries_.end()) e->second.waiting = calls;
+void BudgetHolder::waiting(const std::map<std::string, double>& calls) {
+  for (auto& [name, e] : entries_) {
+    const auto known = calls.find(name);
+    e.waiting = known == calls.end() ? 0 : known->second;
+  }
 }
 
 void BudgetHolder::begin(uint64_t life) {
--- a/fleet/budget_holder.h
+++ b/fleet/budget_holder.h
@@ -43,8 +43,8 @@
   // The whole as known here from now on, calls a second; 0: there is no such budget. `told`: other relays may
   // know another (else the fleet's policy says it).
   void whole(const std::string& name, double per_s, bool told);
-  void asked(const std::string& name, double calls);    // were wanted, whether or not they could go out
-  void waiting(const std::string& name, double calls);  // wanted and not out, now
+  void asked(const std::string& name, double calls);         // were wanted, whether or not they could go out
+  void waiting(const std::map<std::string, double>& calls);  // wanted and not out, now; of others none
   // Another process of this name may have spent meanwhile: this one begins as a life of its own.
   void begin(uint64_t life);
 
@@ -53,6 +53,10 @@
   bool took(Time now, uint64_t reign, const Parts& parts, Time until);
 
   double may(Time now, const std::string& name) const;  // a second; 0 of what is not known
+  void say_again() {                                    // all of it, with the next changes()
+    for (auto& [name, entry] : entries_) entry.said = -1;
+    changed_ = true;
+  }
   // All that differ from what was said last, each once.
   std::vector<Change> changes(Time now);
   Time next() const;  // when changes() is due; kNever: nothing ends
--- a/relay/budget_link.cpp
+++ b/relay/budget_link.cpp
@@ -65,6 +65,7 @@
     whole("tenant/" + t.name, t.quota_per_s, {Granted::Of::kTenant, static_cast<int>(i)});
   }
   list();
+  take_limits();
   tell();
 }
 
@@ -115,24 +116,29 @@
   whole(dest(d->first), limit, {Granted::Of::kDestination, d->first});
 }
 
-void BudgetLink::limits(const std::vector<Limit>& all) {
-  std::unordered_map<uint64_t, double> of_policy;
-  for (const auto& [budget, limit] : std::exchange(limits_, {})) {
-    whole(budget, 0, {Granted::Of::kLimit, limit.number});
+// A number may be another limit's by now: what has gone is told first.
+void BudgetLink::take_limits() {
+  const auto all = host_.limits();
+  std::map<std::string, int> now;
+  for (const auto& limit : all) now[limit.budget] = limit.number;
+  for (const auto& [budget, number] : std::exchange(limits_, now)) {
+    if (!now.contains(budget)) whole(budget, 0, {Granted::Of::kLimit, number});
   }
-  for (const Limit& limit : all) {
-    limits_[limit.budget] = limit;
+  tell();
+  std::unordered_map<uint64_t, double> of_policy;
+  for (const auto& limit : all) {
     of_policy[fleet::budget_hash(limit.budget)] = limit.per_s;
     whole(limit.budget, limit.per_s, {Granted::Of::kLimit, limit.number});
   }
   divider().wholes(std::move(of_policy));
-  tell();
 }
 
 // ---- What is wanted, and what there is ----
 
 void BudgetLink::hear(const std::vector<Event>& events) {
+  bool retuned = false;
   for (const Event& event : events) {
+    retuned = retuned || std::holds_alternative<Retuned>(event);
     if (const auto* a = std::get_if<Arrival>(&event)) {
       holder().asked(dest(a->destination), 1);
       if (a->tenant >= 0 && a->tenant < static_cast<int>(settings_.tenants.size())) {
@@ -145,6 +151,9 @@
     }
   }
   tell();
+  if (!retuned) return;
+  holder().say_again();  // the module begins its tenants anew
+  tell();
 }
 
 double BudgetLink::may(const std::string& budget) const { return holder().may(lease_now(), budget); }
@@ -182,13 +191,13 @@
 // ---- On the leases ----
 
 std::string BudgetLink::ask(fleet::Time now) {
-  std::map<int, double> waiting;
-  for (const auto& [number, d] : destinations_) waiting[number] = 0;
-  host_.waiting([&](int destination) {
-    if (const auto d = waiting.find(destination); d != waiting.end()) ++d->second;
-  });
-  for (const auto& [number, calls] : waiting) holder().waiting(dest(number), calls);
-  return BudgetRider::ask(now);
+  take_limits();
+  std::map<std::string, double> waiting;
+  host_.waiting([&](const std::string& budget) { ++waiting[budget]; });
+  holder().waiting(waiting);
+  std::string out = BudgetRider::ask(now);
+  tell();
+  return out;
 }
 
 std::string BudgetLink::answer(fleet::Time now, const Renewal& renewal, std::string_view asked) {
--- a/relay/budget_link.h
+++ b/relay/budget_link.h
@@ -2,8 +2,8 @@
 // wanted, and what the module is told of its parts. It rides on the leases of the fleet's policy.
 //
 // Wholes: of a destination what the list says where its weights are nominal, or what a report said since; of
-// a tenant its quota; of a rule what limits() was told; of others what share() was. A destination's routes
-// apart have limits of their own and are no budgets.
+// a tenant its quota; of a rule its limit, looked at with each renewal; of others what share() was. A
+// destination's routes apart have limits of their own and are no budgets.
 //
 // Before anything is sent the module is told the floors, and, where a lease is over by the clock that goes on
 // while a machine sleeps, that the part is gone: hear() looks at each turn.
@@ -19,6 +19,7 @@
 #include <string>
 #include <vector>
 
+#include "../access/limit_numbers.h"
 #include "../fleet/budget_rider.h"
 #include "budget_faults.h"
 #include "config.h"
@@ -32,13 +33,9 @@
 
   struct Host {
     std::function<void(const Granted&)> grant;  // for the module's next step
-    // Tells the destination of each message that is held and not out.
-    std::function<void(const std::function<void(int destination)>&)> waiting;
-  };
-  struct Limit {     // of a rule of a customer
-    int number = 0;  // as in Way and Granted
-    std::string budget;
-    double per_s = 0;
+    // Tells the budgets that each message wants which is held and not out.
+    std::function<void(const std::function<void(const std::string& budget)>&)> waiting;
+    std::function<std::vector<umberhoist::access::Limit>()> limits;  // of customers' rules, all there are
   };
 
   // The directory outlives this. The configuration has the section.
@@ -47,8 +44,6 @@
   void begin();  // this process takes its name's place in the fleet
   void retune(const Config& config);
   void hear(const std::vector<Event>& events);  // before the module does
-  // All limits there are; in place of those before.
-  void limits(const std::vector<Limit>& all);
   // A budget that is not the module's; 0: there is none.
   void share(const std::string& budget, double per_s);
   // Calls that were wanted of a budget since, whether or not they could go out.
@@ -74,6 +69,7 @@
   };
 
   void list();
+  void take_limits();
   void reported(const AttemptEnded& end);
   void whole(const std::string& budget, double per_s, Place place);
   void tell();  // the module, what has changed
@@ -87,7 +83,7 @@
   FleetSettings::Budgets budgets_;
   std::map<int, Destination> destinations_;
   std::map<std::string, Place> places_;
-  std::map<std::string, Limit> limits_;
+  std::map<std::string, int> limits_;  // by number
   bool leased_ = false;
   bool too_many_ = false;
   uint64_t unreadable_told_ = 0;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -52,6 +52,7 @@
       open_timer_(io),
       peer_timer_(io) {
   if (config.feeds) custody_.tell(outcomes_.emplace(config, custody_.journal().place()));
+  share_budgets();
   if (!standing_.predecessor) join_fleet();
   if (config.operator_address) {
     operator_.emplace(io, *config.operator_address,
@@ -93,6 +94,7 @@
 void Relay::serve() {
   join_fleet();
   custody_.resume(std::exchange(waiting_, {}));
+  if (budgets_) budgets_->retune(config_);  // with the limits that these came under
   listen();
   report();
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "access_link.h"
+#include "budget_link.h"
 #include "clients.h"
 #include "config.h"
 #include "custody.h"
@@ -78,6 +79,7 @@
   void arm();
   Lane lane_of(const Member& member) const;
   // The rules that hold, its own and the fleet's (rules.cpp).
+  void share_budgets();
   void join_fleet();
   void take(Config next);
   void show_access();
@@ -128,10 +130,11 @@
   std::shared_ptr<Link> link_;        // to the other process
   Upstream upstream_;
   Replies replies_;
-  std::optional<AccessLink> access_;  // where customers have rules, or had
-  std::optional<FleetLink> fleet_;    // where relays talk, and this process serves
-  std::optional<FeedLink> feeds_;     // with the fleet, and where customers have feeds
-  int relays_ = 0;                    // as the fleet's view counts them; 0: the settings say
+  std::optional<AccessLink> access_;   // where customers have rules, or had
+  std::optional<BudgetLink> budgets_;  // where relays share them
+  std::optional<FleetLink> fleet_;     // where relays talk, and this process serves
+  std::optional<FeedLink> feeds_;      // with the fleet, and where customers have feeds
+  int relays_ = 0;                     // as the fleet's view counts them; 0: the settings say
   std::optional<Operator> operator_;
   Watch watch_;
   std::function<void(const tcp::endpoint&)> listening_;
--- a/relay/rules.cpp
+++ b/relay/rules.cpp
@@ -10,6 +10,25 @@
 
 namespace firspool::relay {
 
+// Before anything is sent: what this process may spend alone.
+void Relay::share_budgets() {
+  if (!config_.fleet || !config_.fleet->budgets) return;
+  BudgetLink::Host host;
+  host.grant = [this](const Granted& part) { happened(part); };
+  host.waiting = [this](const std::function<void(const std::string&)>& each) {
+    for (const auto& [number, held] : custody_.held()) {
+      if (held.out) continue;
+      each("dest/" + std::to_string(held.handed.destination));
+      if (!held.handed.verdict) continue;
+      for (const auto& limit : held.handed.verdict->limits) each(limit->budget);
+    }
+  };
+  host.limits = [this] { return custody_.customers().limits(); };
+  budgets_.emplace(io_, config_, directory_, std::move(host));
+  replies_.add("BUDGETS", [this](const std::string&) { return budgets_->lines(); });
+  replies_.add_figures("budgets", [this] { return budgets_->figures(); });
+}
+
 // A successor joins once it serves: its predecessor has the address until then.
 void Relay::join_fleet() {
   if (!config_.fleet || fleet_) return;
@@ -24,6 +43,10 @@
   };
   host.fault = [this](const std::string& policy) { return policy_fault(config_, policy); };
   host.adopt = [this](const std::string& policy) { take(with_policy(config_, policy)); };
+  if (budgets_) {
+    budgets_->begin();
+    host.rider = &*budgets_;
+  }
   fleet_.emplace(
       io_, config_, UMBERHOIST_VERSION,
       [this](int relays) {
@@ -95,9 +118,13 @@
   if (!config_.fleet) next.fleet.reset();  // begins with the next start
   if (!outcomes_) next.feeds.reset();
   if (next.fleet) next.fleet->bind = config_.fleet->bind;
+  if (next.fleet && next.fleet->budgets.has_value() != config_.fleet->budgets.has_value()) {
+    next.fleet->budgets = config_.fleet->budgets;
+  }
   config_ = std::move(next);
   custody_.retune(config_.settings, config_.access);
   if (fleet_) fleet_->retune(config_);
+  if (budgets_) budgets_->retune(config_);
   show_access();
   if (outcomes_) outcomes_->retune(config_);
   if (feeds_) feeds_->retune(config_);
--- a/relay/turn.cpp
+++ b/relay/turn.cpp
@@ -20,7 +20,11 @@
   if (shut() && !custody_.number_of(handed.id)) return answer(fenced_line());
   const auto put = custody_.put(std::move(handed));
   if (const auto* line = std::get_if<std::string>(&put)) return answer(*line);
-  pending_.push_back({std::get<uint64_t>(put), std::move(answer)});
+  const auto number = std::get<uint64_t>(put);
+  if (const Custody::Held* held = budgets_ ? custody_.find(number) : nullptr; held && held->handed.verdict) {
+    for (const auto& limit : held->handed.verdict->limits) budgets_->wanted(limit->budget, 1);
+  }
+  pending_.push_back({number, std::move(answer)});
 }
 
 Lane Relay::lane_of(const Member& member) const {
@@ -68,6 +72,7 @@
 }
 
 void Relay::step() {
+  if (budgets_) budgets_->hear(events_);  // what has lapsed is known before anything is sent
   step_posted_ = false;
   std::vector<Event> events;
   events.swap(events_);
--- a/tests/budget_link_test.cpp
+++ b/tests/budget_link_test.cpp
@@ -69,7 +69,8 @@
     config.names = {{"z"}, {"plain", "apart"}};
     BudgetLink::Host host;
     host.grant = [this](const Granted& part) { parts[{part.of, part.number}] = part.per_s; };
-    host.waiting = [](const std::function<void(int)>& each) { each(7); };
+    host.waiting = [](const std::function<void(const std::string&)>& each) { each("dest/7"); };
+    host.limits = [this] { return limits; };
     link.emplace(io, config, directory, host);
   }
   void list(int64_t revision, const std::vector<std::pair<int, double>>& destinations) {
@@ -93,6 +94,7 @@
   Config config;
   Directory directory;
   std::map<std::pair<Granted::Of, int>, double> parts;
+  std::vector<umberhoist::access::Limit> limits;
   std::optional<BudgetLink> link;
 };
 
@@ -110,10 +112,15 @@
   EXPECT_DOUBLE_EQ(part(Granted::Of::kDestination, 7), 4);
   list(2, {{8, 2}});
   EXPECT_LT(part(Granted::Of::kDestination, 7), 0);  // not listed: no budget, and the module is told so
-  link->limits({{3, "rule/a/slow", 30}});
+  limits = {{3, "rule/a/slow", 30}};
+  link->ask(lease_now());
   EXPECT_DOUBLE_EQ(part(Granted::Of::kLimit, 3), 3);
   EXPECT_DOUBLE_EQ(link->may("rule/a/slow"), 3);
-  link->limits({});
+  parts.erase({Granted::Of::kTenant, 1});
+  link->hear({Retuned{config.settings}});  // the module begins its tenants anew
+  EXPECT_DOUBLE_EQ(part(Granted::Of::kTenant, 1), 2);
+  limits.clear();
+  link->ask(lease_now());
   EXPECT_LT(part(Granted::Of::kLimit, 3), 0);
 }
 
