--- a/tests/fleet/oracles_feeds_test.cpp
+++ b/tests/fleet/oracles_feeds_test.cpp
@@ -95,6 +95,16 @@
             std::string::npos);
 }
 
+// A log that is gone is said once; after that the fleet forgets it, and what was taken of it stays taken.
+TEST(FeedOracleTest, ALogThatIsGoneAndForgottenIsNotTakenBack) {
+  EXPECT_EQ(after([](Feed& f) {
+              f.gave({1, 2, 4});
+              f.oracle.opened(11, "acme/s", 2, {}, {{kLog, 5, 0}}, true);
+              f.oracle.opened(12, "acme/s", 1, {}, {}, false);
+            }),
+            "");
+}
+
 TEST(FeedOracleTest, WhatNobodyCanHaveIsCountedAndNotHeldAgainstAnyone) {
   Feed f;
   f.oracle.emptied(8, 0);
