Let a customer's side be tried by hand: hand-in, feed, and the three relays' example

Cause: rules, hits and feeds could be seen by the lab only. Change: umberhoistctl hand-in and feed speak RESP to the clients' address and keep the cursor in a file; the example has a customer with rules, a feed and shared budgets.

--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -9,6 +9,7 @@
 #include "access.h"
 #include "ask.h"
 #include "budgets.h"
+#include "customer.h"
 #include "fleet_view.h"
 #include "policy.h"
 
@@ -129,6 +130,26 @@
       "hits", "how many messages each rule decided: by a relay, and by the fleet as it knows"));
   hits->add_option("customer", customer, "of this one alone");
   CLI::App* rules = to_relays(access->add_subcommand("rules", "those in force"));
+  const auto to_clients = [&](CLI::App* command) {
+    command
+        ->add_option("--relay", relays, "HOST:PORT of a relay's clients' address; more than one may be named")
+        ->required()
+        ->allow_extra_args(false);
+    return command;
+  };
+  Feed feed;
+  CLI::App* read = to_clients(app.add_subcommand(
+      "feed", "take a customer's outcomes; exit 1 where an origin is missing or a gap was said"));
+  read->add_option("customer", feed.customer)->required();
+  read->add_option("subscription", feed.subscription)->required();
+  read->add_option("--cursor", feed.cursor_file, "the file in which the cursor is kept");
+  HandIn handed;
+  CLI::App* put = to_clients(app.add_subcommand("hand-in", "hand messages in as a client does"));
+  put->add_option("customer", handed.customer)->required();
+  put->add_option("class", handed.message_class)->required();
+  put->add_option("destination", handed.destination)->required();
+  put->add_option("--count", handed.count)->check(CLI::PositiveNumber);
+  put->add_option("--within", handed.within_ms, "their time in ms")->check(CLI::PositiveNumber);
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& error) {
@@ -138,6 +159,8 @@
   }
   try {
     if (*status_command) return status(relays, as_json);
+    if (*read) return read_feed(relays, feed);
+    if (*put) return hand_in(relays, handed);
     if (*metrics_command) return metrics(relays.front(), as_json);
     if (*budgets) return budgets_of(relays);
     if (*propose) return propose_policy(relays, proposal);
