--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -10,6 +10,7 @@
 #include "ask.h"
 #include "budgets.h"
 #include "customer.h"
+#include "feeds.h"
 #include "fleet_view.h"
 #include "policy.h"
 
@@ -98,6 +99,8 @@
   double every_s = 1;
   view_command->add_flag("--watch", watch, "again and again");
   view_command->add_option("--every", every_s, "seconds")->check(CLI::PositiveNumber);
+  CLI::App* feeds =
+      to_relays(app.add_subcommand("feeds", "customers' outcome feeds: logs, and what is remembered"));
   CLI::App* budgets =
       to_relays(app.add_subcommand("budgets", "what each relay may spend of what they share"));
   CLI::App* policy = app.add_subcommand("policy", "the fleet's policy: one version, everywhere or nowhere");
@@ -162,6 +165,7 @@
     if (*read) return read_feed(relays, feed);
     if (*put) return hand_in(relays, handed);
     if (*metrics_command) return metrics(relays.front(), as_json);
+    if (*feeds) return feeds_of(relays);
     if (*budgets) return budgets_of(relays);
     if (*propose) return propose_policy(relays, proposal);
     if (*policy_now) return policy_status(relays);
--- a/feeds/outcome_log.cpp
+++ b/feeds/outcome_log.cpp
@@ -48,15 +48,16 @@
     return;
   }
   if (back || !writes_) return;
-  // Nothing that can be gone on with.
+  begin_anew(fresh);  // nothing that can be gone on with
+}
+
+void OutcomeLog::begin_anew(uint64_t fresh) {
   files_->drop_front();
-  *this = OutcomeLog(files, limits);
+  forget();
   number_ = fresh;
   begin_back();
 }
 
-OutcomeLog::OutcomeLog(LogFiles& files, Limits limits) : files_(&files), limits_(limits), writes_(true) {}
-
 bool OutcomeLog::load_front() {
   const std::string bytes = files_->read(Part::kFront);
   const fleet::Records records = fleet::read_records(bytes);
--- a/feeds/outcome_log.h
+++ b/feeds/outcome_log.h
@@ -60,6 +60,8 @@
   // `outcome.number` is next(). False: it could not be written, and is to be appended again.
   bool append(const Outcome& outcome, int64_t now_ms);
   void trim(int64_t now_ms);
+  // Another log from now on: this one was found to be cut.
+  void begin_anew(uint64_t fresh);
   void limit(Limits limits) { limits_ = limits; }
 
   // Of a customer, of these regions (none: all), above `after`: at most so many, and bytes (one at least).
@@ -78,8 +80,6 @@
   };
   struct Head;
 
-  OutcomeLog(LogFiles& files, Limits limits);
-
   bool load_front();
   bool load_back();
   void take(const std::vector<std::string>& bodies, int64_t& oldest, int64_t& newest);
--- a/relay/feed_link.cpp
+++ b/relay/feed_link.cpp
@@ -1,5 +1,6 @@
 #include "feed_link.h"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdio>
 #include <random>
@@ -36,11 +37,12 @@
 }
 
 FeedLink::FeedLink(boost::asio::io_context& io, const Config& config, FleetWire& wire, Custody& custody,
-                   Outcomes& outcomes)
+                   Outcomes& outcomes, Budget budget)
     : config_(config),
       wire_(wire),
       custody_(custody),
       outcomes_(outcomes),
+      budget_(std::move(budget)),
       file_((std::filesystem::path(config.state) / "feeds.records").string()),
       timer_(io),
       tick_(io) {
@@ -130,6 +132,13 @@
     custody_.catch_up();
     outcomes_.trim();
     if (!service_) begin();
+    if (budget_ && service_) {
+      const uint64_t given = service_->figures().outcomes;
+      const uint64_t since = given - std::min(given, std::exchange(given_, given));
+      service_->budget(budget_(static_cast<double>(since + service_->waiting() * config_.feeds->batch)));
+      service_->woke(steady_now());
+      step();
+    }
     tick();
   });
 }
--- a/relay/feed_link.h
+++ b/relay/feed_link.h
@@ -21,8 +21,12 @@
  public:
   static constexpr const char* kCommands[] = {"FEED.OPEN", "FEED.READ", "FEED.ACK"};
 
+  // How many outcomes a second may be read here, as so many are wanted now; the fleet's budget says.
+  using Budget = std::function<double(double wanted)>;
+
+  // Without a budget the configured whole is divided evenly over the configured relays.
   FeedLink(boost::asio::io_context& io, const Config& config, FleetWire& wire, Custody& custody,
-           Outcomes& outcomes);
+           Outcomes& outcomes, Budget budget);
   // Each command under way is answered.
   ~FeedLink();
   FeedLink(const FeedLink&) = delete;
@@ -47,10 +51,12 @@
   FleetWire& wire_;
   Custody& custody_;
   Outcomes& outcomes_;
+  Budget budget_;
   LastingFile file_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer tick_;
   std::optional<umberhoist::feeds::Service> service_;  // none: its file could not be written
+  uint64_t given_ = 0;                                 // outcomes, at the last tick
   bool stepping_ = false;
 };
 
--- a/relay/outcomes.cpp
+++ b/relay/outcomes.cpp
@@ -77,7 +77,7 @@
   return own_->last();
 }
 
-std::map<uint64_t, feeds::Outcome> Outcomes::missing(const feeds::OutcomeLog& log,
+std::map<uint64_t, feeds::Outcome> Outcomes::missing(feeds::OutcomeLog& log,
                                                      const std::vector<Ended>& ended) {
   std::map<uint64_t, feeds::Outcome> out;
   for (const Ended& one : ended) {
@@ -100,8 +100,9 @@
   }
   log_event(LogLevel::kError, "feed_log_behind",
             "feeds: the log ends at " + std::to_string(log.last()) + ", and the journal begins at " +
-                std::to_string(out.begin()->first) + ": its end was cut off",
+                std::to_string(out.begin()->first) + ": its end was cut off, and another log begins",
             {{"last", log.last()}, {"known", out.begin()->first}});
+  log.begin_anew(drawn());
   return {};
 }
 
--- a/relay/outcomes.h
+++ b/relay/outcomes.h
@@ -41,8 +41,8 @@
 
  private:
   Ended record_of(const umberhoist::feeds::Outcome& outcome) const;
-  // Those of the log that it lacks, by number.
-  static std::map<uint64_t, umberhoist::feeds::Outcome> missing(const umberhoist::feeds::OutcomeLog& log,
+  // Those of the log that it lacks, by number; one that was cut is begun anew.
+  static std::map<uint64_t, umberhoist::feeds::Outcome> missing(umberhoist::feeds::OutcomeLog& log,
                                                                 const std::vector<Ended>& ended);
 
   umberhoist::feeds::Limits limits_;
--- a/relay/rules.cpp
+++ b/relay/rules.cpp
@@ -55,7 +55,15 @@
       },
       std::move(host));
   if (access_) access_->join(*fleet_);
-  if (outcomes_) feeds_.emplace(io_, config_, fleet_->wire(), custody_, *outcomes_);
+  if (outcomes_) {
+    const auto part = [this](double wanted) {
+      budgets_->share("feed", config_.feeds->catch_up_per_s);
+      budgets_->wanted("feed", wanted);
+      return budgets_->may("feed");
+    };
+    feeds_.emplace(io_, config_, fleet_->wire(), custody_, *outcomes_,
+                   budgets_ ? FeedLink::Budget(part) : FeedLink::Budget());
+  }
   replies_.add("POLICY", [this](const std::string& rest) {
     return fleet_ ? fleet_->policy().call(rest) : "ERR not in the fleet now\n";
   });
