Budgets: an old word of a life that is over no longer keeps the next out; closer hysteresis

A renewal of a process that was gone could come after its successor's first and seem the newest life: the living one then got no part in that reign. Now one that is heard takes its place again after two and a half periods.

--- a/fleet/division.cpp
+++ b/fleet/division.cpp
@@ -103,7 +103,13 @@
     }
     lives.emplace_back().id = told.life;
   } else if (known + 1 != lives.end()) {
-    return nullptr;  // another has followed it: what it has lapses
+    // Another has followed it: what it has lapses. But for one of which nothing more is heard: an old word of
+    // a life that was over may come late, and seem new.
+    Life& followed = lives.back();
+    if (now - followed.heard <= 5 * settings_.period / 2) return nullptr;
+    followed.live = false;
+    stale(followed);
+    std::rotate(known, known + 1, lives.end());
   }
   Life& life = lives.back();
   const double floor = told.floor / static_cast<double>(told.names);
--- a/fleet/division.h
+++ b/fleet/division.h
@@ -13,8 +13,8 @@
 // gets a part within the lower whole with its next answer, one that does not has none within a term. B2
 // max-min by need above the floor, of what no other life may still hold. Nothing is granted in a reign until
 // the leases of those before it are surely over.
-// Hysteresis: a part is lowered where it is a tenth above what is due, or another that lives has less than
-// nine tenths of its due, or the whole does not hold it; raised where that is 2% or more.
+// Hysteresis: a part is lowered where it is 5% above what is due, or another that lives has 7% less than what
+// it needs of its due, or the whole does not hold it; raised where that is 2% or more.
 // Turns: where even parts would be under one call a term, as many relays as can have that have the whole,
 // those whose last turn is longest ago first. A turn lasts kTurnTerms, and as many calls as it began.
 //
--- a/fleet/division_weigh.cpp
+++ b/fleet/division_weigh.cpp
@@ -91,7 +91,7 @@
     Share& s = *by[i].share;
     s.need = std::min(needs[i], due[i]);
     s.due = due[i];
-    b.starving = b.starving || s.last < 0.9 * s.need;
+    b.starving = b.starving || s.last < 0.93 * s.need;
   }
   if (b.starving) b.until = now + settings_.period;  // until it is known not to be
 }
@@ -133,7 +133,7 @@
   if (s.due <= 0 || due <= 0) return 0;
   if (due < s.last) {
     const bool holds = others + s.last + floors <= b.whole;
-    const bool near = s.last <= 1.1 * s.due;
+    const bool near = s.last <= 1.05 * s.due;
     return holds && near && !b.starving && !b.turns ? s.last : due;
   }
   if (due < 1.02 * s.last) return s.last;
--- a/tests/fleet/budgets_test.cpp
+++ b/tests/fleet/budgets_test.cpp
@@ -126,6 +126,23 @@
   EXPECT_GE(fleet.jain(), 0.98);
 }
 
+TEST(Division, AnOldWordOfALifeThatIsOverDoesNotKeepTheNextOut) {
+  Divider divider({kPeriod, kTerm, 0.2, {"n0"}, Divider::Plant::kNothing});
+  divider.begin(1, 0);
+  Demands late{1, 0.2, 1, 0, 0, 0, 1, {{budget_hash("b"), 50, 50}}}, told = late;
+  told.life = 2;
+  Time now = kSecond;
+  const auto renew = [&](const Demands& d) {
+    now += kPeriod;
+    return divider.answer(now, {"n0", now + kOver, now - kPeriod}, d);
+  };
+  EXPECT_TRUE(renew(told));
+  EXPECT_TRUE(renew(late));
+  size_t answers = 0;
+  for (int n = 0; n < 20; ++n) answers += renew(told) ? 1 : 0;
+  EXPECT_GE(answers, 17u);
+}
+
 TEST(Division, SmallWholesGoRoundInTurns) {
   Fleet fleet(30);
   fleet.set_whole(0.5);
