Send by permitted ways only, divide rules' limits, and show no fleet count before it is whole

Change: Arrival carries the verdict's ways, also after a restart; limits are granted evenly where no budgets are on, those of old verdicts too; fleet counts are shown once each live relay that is known was heard anew.

--- a/relay/access_link.h
+++ b/relay/access_link.h
@@ -3,8 +3,11 @@
 // journal's.
 //
 // Made where a customer has rules, or had some that were hit. What is known of other relays is written down
-// every kWriteEvery, so that it outlasts a restart of all; a process that was killed shows what was written
-// last until its first exchange.
+// every kWriteEvery, so that it outlasts a restart of all.
+//
+// The fleet's counts never go back in what one relay shows: a process in a fleet shows none until it has had
+// an exchange and heard each live relay's part that it knows of anew, or kWholeAtLast has passed, or nobody
+// has answered for kAlone.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -21,6 +24,8 @@
 class AccessLink {
  public:
   static constexpr Time kWriteEvery = 10'000'000;
+  static constexpr Time kAlone = 3 * umberhoist::access::Spread::kPeriod;
+  static constexpr Time kWholeAtLast = 30'000'000;
   static constexpr size_t kMostSeries = 200;    // of METRICS by rule; the rest is summed by customer
   static constexpr size_t kMostCustomers = 50;  // of these sums; the rest is one
 
@@ -44,6 +49,7 @@
   void arm();
   void step();
   void see_own();
+  bool whole();
   void write();
   std::string hits(const std::string& customer);
 
@@ -53,6 +59,10 @@
   std::string described_;
   umberhoist::access::Spread spread_;
   FleetLink* fleet_ = nullptr;  // null: it is in none now
+  bool whole_;                  // the fleet's counts may be shown
+  Time joined_ = 0;
+  Time heard_ = 0;  // when another was, last
+  uint64_t exchanges_then_ = 0;
   boost::asio::steady_timer timer_;
   Time written_ = 0;
   uint64_t unwritten_ = 0;
--- a/relay/custody.cpp
+++ b/relay/custody.cpp
@@ -40,6 +40,7 @@
 
 void Custody::retune(const Settings& settings, const umberhoist::access::Rules& access) {
   customers_.retune(access);
+  grant();
   journal_.keep_hits(customers_.in_force());
   tenants_ = settings.tenants;
   const auto old = std::exchange(rules_, rules_by_name(settings));
@@ -49,6 +50,16 @@
   }
 }
 
+void Custody::divide_limits(int relays) {
+  relays_ = relays;
+  grant();
+}
+
+void Custody::grant() {
+  if (relays_ == 0) return;
+  for (const Granted& part : customers_.even_parts(relays_)) happened_(part);
+}
+
 // Sites without tenants name none.
 int Custody::tenant_of(const std::string& name) const {
   if (tenants_.empty()) return 0;
@@ -75,6 +86,7 @@
   in.tenant = tenant;
   in.due = handed.budget.due();
   in.destination = handed.destination;
+  in.ways = umberhoist::access::ways_of(handed.verdict);
   in.room = journal_.has_room(handed);
   numbers_[handed.id] = number;
   held_[number] = {std::move(handed), 0, false, false, Stage::kQueue, steady_now()};
@@ -117,6 +129,7 @@
     Held& held = held_[number];
     held.handed = entry.message;
     held.handed.verdict = customers_.recorded(entry.verdict);
+    if (held.handed.verdict && !held.handed.verdict->limits.empty()) grant();
     held.attempts = entry.attempts;
     held.since = steady_now();
     held.stage = entry.attempts > 0 ? Stage::kWait : Stage::kQueue;
@@ -134,6 +147,7 @@
     in.tenant = std::max(0, tenant_of(entry.message.tenant));
     in.due = held.handed.budget.due();
     in.destination = entry.message.destination;
+    in.ways = umberhoist::access::ways_of(held.handed.verdict);
     in.attempts = entry.attempts;
     in.pause = pause;
     if (!entry.unsettled.empty()) {
--- a/relay/custody.h
+++ b/relay/custody.h
@@ -75,13 +75,15 @@
   const Journal& journal() const { return journal_; }
   Notices& notices() { return notices_; }
   const Notices& notices() const { return notices_; }
-  CustomerRules& customers() { return customers_; }
+  // Rules' limits are divided evenly among so many relays from now on; 0: another part tells the module.
+  void divide_limits(int relays);
   const CustomerRules& customers() const { return customers_; }
   uint64_t denied() const { return denied_; }  // messages, since this process began
   Figures& figures() { return figures_; }
   const Figures& figures() const { return figures_; }
 
  private:
+  void grant();
   int tenant_of(const std::string& name) const;
   void forget_class(const std::string& name);
 
@@ -94,6 +96,7 @@
   Notices notices_;
   const ToldWaits& waits_;
   Happened happened_;
+  int relays_ = 0;  // that share the limits evenly
   uint64_t denied_ = 0;
   uint64_t last_number_ = 0;
   std::unordered_map<uint64_t, Held> held_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -61,6 +61,7 @@
   waiting_ = custody_.journal().recovered();
   if (standing_.left) adopt(*std::exchange(standing_.left, {}));
   show_access();
+  if (!budgets_) custody_.divide_limits(config_.settings.relays);
   told(config_.known);
   recall(custody_.journal().remembered());
   open_timer_.expires_after(std::chrono::microseconds(kFirstWord));
--- a/relay/upgrade_successor.cpp
+++ b/relay/upgrade_successor.cpp
@@ -132,6 +132,7 @@
 void Relay::apply_share() {
   Retuned now{config_.settings};
   if (relays_ > 0) now.settings.relays = relays_;
+  if (!budgets_) custody_.divide_limits(now.settings.relays);
   now.settings.slots -= std::min(now.settings.slots, static_cast<int>(share_.calls));
   now.settings.max_open -= std::min(now.settings.max_open, static_cast<int>(share_.held));
   happened(std::move(now));
