--- a/fleet/budget_holder.cpp
+++ b/fleet/budget_holder.cpp
@@ -107,7 +107,7 @@
 
 bool BudgetHolder::took(Time now, uint64_t reign, const Parts& parts, Time until) {
   if (reign < std::max(heard_reign_, table_reign_)) return false;
-  heard_ = reign == heard_reign_ ? std::max(heard_, parts.heard) : parts.heard;
+  heard_ = parts.heard;  // less than before, where it has forgotten or an old answer comes late: told again
   heard_reign_ = reign;
   if (parts.number == 0) return false;
   const uint64_t own = reign == table_reign_ ? number_ : 0;
--- a/tests/fleet/budgets_play_test.cpp
+++ b/tests/fleet/budgets_play_test.cpp
@@ -44,6 +44,18 @@
   EXPECT_NE(audit.broken(), "");  // two halves and the floors
 }
 
+TEST(Holder, TellsAgainWhatALeaderHasForgotten) {
+  fleet::BudgetHolder holder({0.2, 1, 500 * fleet::kMs, 3 * fleet::kSecond, 1});
+  holder.whole("b", 50, true);
+  holder.asked("b", 100);
+  const fleet::Demands first = holder.tell(fleet::kSecond);
+  ASSERT_EQ(first.words.size(), 1u);
+  holder.took(fleet::kSecond, 1, {0, 0, false, first.number, {}}, 2 * fleet::kSecond);
+  EXPECT_TRUE(holder.tell(fleet::kSecond).words.empty());
+  holder.took(fleet::kSecond, 1, {0, 0, false, 0, {}}, 2 * fleet::kSecond);
+  EXPECT_EQ(holder.tell(fleet::kSecond).words, first.words);
+}
+
 TEST(AgreementRiders, AreNotInTheMessageWhereThereIsNone) {
   fleet::Renew renew;
   fleet::Grant grant;
