--- a/tests/feeds_relay_test.cpp
+++ b/tests/feeds_relay_test.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <iterator>
 
+#include "../access/rules.h"
 #include "feed_settings.h"
 #include "lasting_file.h"
 #include "outcomes.h"
@@ -146,7 +147,7 @@
   EXPECT_EQ(record::owed(notice).size(), 8U + 1 + 8 + 1 + 8 + 8);
 }
 
-TEST(FeedFaults, AreOnThePageOfThoseOnCall) {
+TEST(Faults, AreOnThePageOfThoseOnCall) {
   const std::string page = read_file(ON_CALL);
   const auto expect = [&](const auto& kinds) {
     for (const umberhoist::FaultKind& kind : kinds) {
@@ -159,6 +160,7 @@
   expect(feeds::kCursorFaults);
   expect(feeds::kFeedFaults);
   expect(kFeedSettingsFaults);
+  expect(umberhoist::access::kAccessFaults);
 }
 
 }  // namespace
