--- a/ctl/customer.cpp
+++ b/ctl/customer.cpp
@@ -164,7 +164,7 @@
     const std::string id = "m" + std::to_string(run % 1'000'000'007) + "-" + std::to_string(i);
     std::string answer;
     try {
-      answer = Resp(relay).ask({"MSG.PUT", id, id,
+      answer = Resp(relay).ask({"MSG.PUT", "0", id,
                                 "c=" + what.message_class + ",t=" + what.customer + ",k=" + id +
                                     ",d=" + std::to_string(what.within_ms) +
                                     ",dest=" + std::to_string(what.destination),
--- a/relay/custody.cpp
+++ b/relay/custody.cpp
@@ -84,6 +84,7 @@
   in.id = number;
   in.rules = handed.rules = rules->second;
   in.tenant = tenant;
+  in.key = handed.sequence_key;
   in.due = handed.budget.due();
   in.destination = handed.destination;
   in.ways = umberhoist::access::ways_of(handed.verdict);
@@ -145,6 +146,7 @@
       continue;
     }
     in.tenant = std::max(0, tenant_of(entry.message.tenant));
+    in.key = held.handed.sequence_key;
     in.due = held.handed.budget.due();
     in.destination = entry.message.destination;
     in.ways = umberhoist::access::ways_of(held.handed.verdict);
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr double kAcceptPart = 0.95;  // of the file: the rest is room between two compactions
-constexpr size_t kFixed = 192;        // of a message's record, beside its texts
+constexpr size_t kFixed = 224;        // of a message's record, beside its texts
 constexpr size_t kLateRoom = 64;      // messages that may still come after the last compaction
 
 bool write_all(int file, std::string_view bytes) {
--- a/relay/journal_records.cpp
+++ b/relay/journal_records.cpp
@@ -68,7 +68,11 @@
   out.text(m.body).text(m.tenant);
   write_rules(out, *m.rules);
   out.instant(now).number(due);
-  if (m.verdict) out.text(m.verdict->record).number(static_cast<int64_t>(counted));
+  const bool in_sequence = m.rules->in_order && m.sequence_key != 0;
+  if (m.verdict || in_sequence) {
+    out.text(m.verdict ? m.verdict->record : "").number(static_cast<int64_t>(m.verdict ? counted : 0));
+  }
+  if (in_sequence) out.number(static_cast<int64_t>(m.sequence_key));
   return framed(out.payload());
 }
 
@@ -176,10 +180,12 @@
       fresh.told = in.instant();
       fresh.due = in.number();
       latest(fresh.told);
-      if (in.more()) {  // or here, where no rules decided
+      if (in.more()) {  // or here, where no rules decided and it is of no sequence
         entry.verdict = in.text();
-        fresh.counted_at = kHeader + record.size() - in.left();
-        hits.accepted(entry.verdict, static_cast<uint64_t>(in.number()));
+        if (!entry.verdict.empty()) fresh.counted_at = kHeader + record.size() - in.left();
+        const auto counted = static_cast<uint64_t>(in.number());
+        if (!entry.verdict.empty()) hits.accepted(entry.verdict, counted);
+        if (in.more()) entry.message.sequence_key = static_cast<uint64_t>(in.number());
       }
     } else {
       const Time life = entry.message.rules ? entry.message.rules->give_up : Budget::kMost;
--- a/relay/message.h
+++ b/relay/message.h
@@ -20,6 +20,7 @@
   std::string tenant;                         // empty if none was named
   std::shared_ptr<const MessageRules> rules;  // null: of a record by an earlier version
   std::shared_ptr<const umberhoist::access::Verdict> verdict = nullptr;  // null: its customer has no rules
+  uint64_t sequence_key = 0;  // messages of classes in order that share one take turns; 0: of no sequence
 };
 
 struct Notice {
--- a/relay/put.cpp
+++ b/relay/put.cpp
@@ -1,5 +1,7 @@
 #include "put.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cctype>
 #include <charconv>
@@ -17,6 +19,12 @@
          std::all_of(text.begin(), text.end(), [](unsigned char c) { return std::isgraph(c) != 0; });
 }
 
+// Any text names a sequence, but zeros name none. Only whether two are alike counts.
+uint64_t sequence_key(std::string_view text) {
+  if (text.find_first_not_of('0') == std::string_view::npos) return 0;
+  return std::max<uint64_t>(1, XXH3_64bits(text.data(), text.size()));
+}
+
 int64_t number(std::string_view text, int64_t least, int64_t most) {
   int64_t value = -1;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -31,6 +39,7 @@
 Handed parse_put(const std::vector<std::string>& words, Time read) {
   if (words.size() != 5) throw std::invalid_argument("MSG.PUT takes a key, an id, a list and a body");
   Handed out;
+  out.sequence_key = sequence_key(words[1]);
   out.id = words[2];
   if (!is_name(out.id)) throw std::invalid_argument("unreadable id");
   out.destination = -1;
