Name the states of a client's connection, and end it in one place

reading_, writing_, grace_ and late_ were four flags of which most combinations have no meaning, and the end was settled twice. A connection is now reading, deciding, writing or closed; how long a read may still take is apart from that; bytes that the owner counts are given back in one place.

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -24,6 +24,7 @@
     : owner_(&owner), socket_(std::move(socket)), timer_(owner.io_), drained_(steady_now()) {}
 
 void Clients::Session::begin() {
+  state_ = State::kReading;
   arm(kQuiet);
   proceed();
 }
@@ -37,10 +38,8 @@
   }
   count();
   if (words) return handle(*words);
-  if (owner_ == nullptr) return;
   if (pushed_out_) return answer_last(owner_->busy_());
-  if (late_) return answer_last("-ERR protocol error: request is not complete");
-  reading_ = true;
+  if (patience_ == Patience::kOver) return answer_last("-ERR protocol error: request is not complete");
   // What is there already came at some time since the last read.
   boost::system::error_code failed;
   const bool waited = socket_.available(failed) > 0 && !failed;
@@ -54,61 +53,64 @@
 void Clients::Session::push_out() {
   if (buffered() == 0) return;
   pushed_out_ = true;
-  owner_->buffered_ -= std::exchange(counted_, 0);
+  uncount();
   boost::system::error_code ignored;
   socket_.cancel(ignored);
 }
 
 void Clients::Session::finish() {
+  if (state_ != State::kReading || !parser_.empty()) return;
   boost::system::error_code ignored;
-  if (reading_ && parser_.empty()) socket_.cancel(ignored);
-}
-
-void Clients::Session::orphan() {
-  owner_ = nullptr;
-  timer_.cancel();
-  boost::system::error_code ignored;
-  socket_.close(ignored);
+  socket_.cancel(ignored);
 }
 
 void Clients::Session::arm(std::chrono::milliseconds time) {
   timer_.expires_after(time);
   timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
     const bool due = self->timer_.expiry() <= boost::asio::steady_timer::clock_type::now();
-    if (!error && due && self->owner_ != nullptr) self->overdue();
+    if (!error && due) self->overdue();
   });
 }
 
 void Clients::Session::overdue() {
-  if (writing_) return close();  // the peer does not read its answer
-  if (!reading_) return;         // its request is being decided on
-  late_ = grace_;
-  if (!std::exchange(grace_, true)) arm(kRestOfRequest);
-  boost::system::error_code ignored;
-  if (late_ || parser_.empty()) socket_.cancel(ignored);  // wakes the read, which decides
+  switch (state_) {
+    case State::kReading: {
+      const bool over = patience_ == Patience::kRest;
+      patience_ = over ? Patience::kOver : Patience::kRest;
+      if (!over) arm(kRestOfRequest);
+      boost::system::error_code ignored;
+      if (over || parser_.empty()) socket_.cancel(ignored);  // wakes the read, which decides
+      return;
+    }
+    case State::kWriting:  // the peer does not read its answer
+      return close();
+    case State::kDeciding:
+    case State::kClosed:
+      return;
+  }
 }
 
 void Clients::Session::read(const boost::system::error_code& error, size_t count, bool waited) {
-  reading_ = false;
-  if (owner_ == nullptr) return;
+  if (state_ != State::kReading) return;
   if (count > 0) {
     feed(count, waited);
     return proceed();
   }
   boost::system::error_code failed;
-  if (error == boost::asio::error::operation_aborted && socket_.available(failed) > 0 && !failed) {
-    return proceed_once();
-  }
-  if (late_ || pushed_out_) return proceed();
+  const bool woken = error == boost::asio::error::operation_aborted;
+  if (woken && socket_.available(failed) > 0 && !failed) return proceed_once();
+  if (patience_ == Patience::kOver || pushed_out_) return proceed();
   close();
 }
 
 void Clients::Session::count() {
-  if (owner_ == nullptr || pushed_out_) return;
+  if (pushed_out_) return;
   owner_->buffered_ += parser_.size() - counted_;
   counted_ = parser_.size();
 }
 
+void Clients::Session::uncount() { owner_->buffered_ -= std::exchange(counted_, 0); }
+
 void Clients::Session::proceed_once() {
   boost::system::error_code error;
   const size_t count = socket_.read_some(boost::asio::buffer(bytes_), error);
@@ -125,14 +127,14 @@
 }
 
 void Clients::Session::handle(const std::vector<std::string>& words) {
+  state_ = State::kDeciding;
   timer_.cancel();
-  grace_ = late_ = false;
+  patience_ = Patience::kQuiet;
   const std::string command = upper(words[0]);
   if (command == "PING" && words.size() <= 2) {
     if (words.size() == 1) return answer("+PONG");
     return answer("$" + std::to_string(words[1].size()) + "\r\n" + words[1]);
   }
-  if (owner_ == nullptr) return;
   const auto known = owner_->commands_.find(command);
   if (known == owner_->commands_.end()) return answer("-ERR unknown command");
   try {
@@ -149,26 +151,35 @@
 }
 
 void Clients::Session::answer(std::string line) {
+  if (state_ == State::kClosed) return;  // the owner is gone
+  state_ = State::kWriting;
   arm(kQuiet);
-  writing_ = true;
   out_ = std::move(line) + "\r\n";
   boost::asio::async_write(socket_, boost::asio::buffer(out_),
                            [self = shared_from_this()](auto error, size_t) {
-                             self->writing_ = false;
-                             if (self->owner_ == nullptr) return;
+                             if (self->state_ != State::kWriting) return;
                              if (error || self->last_) return self->close();
                              self->begin();
                            });
 }
 
 void Clients::Session::close() {
-  timer_.cancel();
   boost::system::error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  uncount();
+  Clients& owner = *owner_;
+  end();
+  owner.forget(place);
+}
+
+void Clients::Session::end() {
+  state_ = State::kClosed;
+  owner_ = nullptr;
+  timer_.cancel();
+  boost::system::error_code ignored;
   socket_.close(ignored);
-  if (owner_ == nullptr) return;
-  owner_->buffered_ -= counted_;
-  std::exchange(owner_, nullptr)->forget(place);
 }
 
+void Clients::Session::orphan() { end(); }
+
 }  // namespace firspool::relay
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -21,24 +21,41 @@
 
   // Waits for a request: the first, or the next one after an answer.
   void begin();
-  // Looks at what is read so far: handles a whole request, or reads on.
-  void proceed();
 
   // Bytes that push_out() would free.
-  size_t buffered() const { return reading_ && !pushed_out_ ? counted_ : 0; }
+  size_t buffered() const { return state_ == State::kReading && !pushed_out_ ? counted_ : 0; }
   // Ends the read, which then answers.
   void push_out();
   // Wakes a pending read, which then decides: bytes that came in the meantime are a request to be served.
   void finish();
+  // Ends it at once, whatever its state: what it counted is given back, and the owner forgets it.
+  void close();
   // The owner is gone.
   void orphan();
 
  private:
+  // What is owed in each: nothing while reading, the answer while deciding, the rest of it while writing.
+  enum class State {
+    kReading,   // waits for a request, or for the rest of one
+    kDeciding,  // one is with its command; nothing more is read
+    kWriting,   // its answer is on the way; nothing more is read
+    kClosed,
+  };
+  // How long a read may still take.
+  enum class Patience {
+    kQuiet,
+    kRest,  // the connection's time is up, but for the rest of a request that is under way
+    kOver,  // and that did not come
+  };
+
+  // Looks at what is read so far: handles a whole request, or reads on.
+  void proceed();
   void arm(std::chrono::milliseconds time);
   void overdue();
   void read(const boost::system::error_code& error, size_t count, bool waited);
   // The bytes of its request that is not whole, in the whole of them.
   void count();
+  void uncount();
   // A request crossed the decision to close: it is read and served before.
   void proceed_once();
   // The parser holds no whole request when it is fed: the last byte of each that it finds came with this
@@ -47,7 +64,7 @@
   void handle(const std::vector<std::string>& words);
   void answer_last(std::string line);
   void answer(std::string line);
-  void close();
+  void end();
 
   Clients* owner_;
   tcp::socket socket_;
@@ -57,10 +74,8 @@
   std::string out_;
   Time drained_;  // when the socket held nothing more to read
   Time read_at_ = 0;
-  bool reading_ = false;
-  bool writing_ = false;
-  bool grace_ = false;  // the connection's time is up, but for the rest of a request that is under way
-  bool late_ = false;   // and that did not come
+  State state_ = State::kReading;
+  Patience patience_ = Patience::kQuiet;
   bool pushed_out_ = false;
   size_t counted_ = 0;  // bytes that the owner counts of it
   bool last_ = false;
--- /dev/null
+++ b/tests/clients_floods_test.cpp
@@ -0,0 +1,66 @@
+// Peers that send much, read nothing or keep what they hold: each holds up nobody else.
+#include "clients_stage.h"
+
+namespace firspool::relay {
+namespace {
+
+using testing::put_bytes;
+
+class ClientsFloods : public ClientsStage {
+ protected:
+  ClientsFloods() { serve({200, 1'000'000}); }
+};
+
+// What is unread when an answer finds nobody is dropped.
+TEST_F(ClientsFloods, APeerThatSendsMuchAndGoesIsNotServedOn) {
+  decide_ = true;
+  std::string burst;
+  for (int i = 0; i < 1000; ++i) burst += put_bytes("a" + std::to_string(i), kFacts);
+  for (const bool reset : {false, true}) {
+    handed_.clear();
+    Socket peer = connect();
+    peer.send(burst);
+    if (reset) {
+      peer.reset();
+    } else {
+      peer.close();
+    }
+    EXPECT_TRUE(run_until([&] { return clients_->open() == 0; }));
+    EXPECT_LT(handed_.size(), 10u) << reset;
+  }
+}
+
+// Nothing more of it is read while an answer waits, and it goes.
+TEST_F(ClientsFloods, APeerThatReadsNothingGoes) {
+  Socket peer = connect();
+  ASSERT_TRUE(run_until([&] { return clients_->open() == 1; }));
+  const std::string ping = "*2\r\n$4\r\nPING\r\n$60000\r\n" + std::string(60'000, 'x') + "\r\n";
+  size_t sent = 0;
+  ASSERT_TRUE(run_until([&] {
+    const ssize_t got = ::send(peer.fd(), ping.data(), ping.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    sent += got > 0 ? static_cast<size_t>(got) : 0;
+    return clients_->open() == 0;
+  }));
+  EXPECT_LT(sent, 60u * 1024 * 1024);
+}
+
+// A burst on one connection is worked off between the others' requests, one at a time.
+TEST_F(ClientsFloods, AFloodHoldsNobodyUp) {
+  Socket flood = connect();
+  constexpr size_t kPings = 5000;
+  std::string burst;
+  for (size_t i = 0; i < kPings; ++i) burst += kPing;
+  Socket client = connect();
+  ASSERT_TRUE(run_until([&] { return clients_->open() == 2; }));
+  flood.send(burst);
+  client.send(put_bytes("a1", kFacts));
+  bool fired = false;
+  boost::asio::steady_timer timer(io_, std::chrono::microseconds(0));
+  timer.async_wait([&](auto) { fired = true; });
+  ASSERT_TRUE(run_until([&] { return fired && !handed_.empty(); }));
+  EXPECT_LT(waiting(flood), kPings * 7 / 2);
+  ASSERT_TRUE(run_until([&] { return waiting(flood) == kPings * 7; }));
+}
+
+}  // namespace
+}  // namespace firspool::relay
