Half-close clients' connections and read them out, so that no answer is reset

A connection was shut and closed at once. With bytes unread that is a reset: an error line that the peer had not read went with it, and so did an answer at the process's end; a request that crossed the idle close met a reset. Now the sending side ends first; what still comes is read and dropped, never parsed, until the peer's end, 0.5 s or 1 MiB. The process's end reads out what is there before it closes.

Such a connection holds a descriptor: it counts in open() and against the limit, but gives its place up, the longest at it first, when a client waits at the limit or no descriptor is left. A peer that does not read its answer is still closed at once, and so is one whose end was read: nothing of it is unread.

ClientsTest.UnfinishedRequestsHaveABoundInBytes took the connection for gone with our end of it; it now holds that it is counted until the peer's end, and gone then.

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -12,6 +12,9 @@
 // error line or a close within 3 s of connecting. Without this, quiet peers fill all places in the end.
 constexpr auto kQuiet = std::chrono::milliseconds(2000);
 constexpr auto kRestOfRequest = std::chrono::milliseconds(500);  // for one that is under way by then
+// For the peer's end after ours. With the one above it stays under what the end of the process leaves.
+constexpr auto kLinger = std::chrono::milliseconds(500);
+constexpr size_t kMostDropped = 1024 * 1024;  // bytes
 
 std::string upper(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::toupper(c); });
@@ -82,7 +85,8 @@
       if (over || parser_.empty()) socket_.cancel(ignored);  // wakes the read, which decides
       return;
     }
-    case State::kWriting:  // the peer does not read its answer
+    case State::kWriting:    // the peer does not read its answer
+    case State::kLingering:  // nor ends
       return close();
     case State::kDeciding:
     case State::kClosed:
@@ -100,7 +104,8 @@
   const bool woken = error == boost::asio::error::operation_aborted;
   if (woken && socket_.available(failed) > 0 && !failed) return proceed_once();
   if (patience_ == Patience::kOver || pushed_out_) return proceed();
-  close();
+  if (woken) return linger();
+  close();  // the peer ended, and nothing of it is unread
 }
 
 void Clients::Session::count() {
@@ -158,18 +163,38 @@
   boost::asio::async_write(socket_, boost::asio::buffer(out_),
                            [self = shared_from_this()](auto error, size_t) {
                              if (self->state_ != State::kWriting) return;
-                             if (error || self->last_) return self->close();
+                             if (error) return self->close();
+                             if (self->last_) return self->linger();
                              self->begin();
                            });
 }
 
-void Clients::Session::close() {
+void Clients::Session::linger() {
+  uncount();
+  state_ = State::kLingering;
   boost::system::error_code ignored;
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  arm(kLinger);
+  owner_->lingers(place);
+  drop();
+}
+
+void Clients::Session::drop() {
+  socket_.async_read_some(boost::asio::buffer(bytes_), [self = shared_from_this()](auto error, size_t count) {
+    if (self->state_ != State::kLingering) return;
+    self->dropped_ += count;
+    if (error || self->dropped_ >= kMostDropped) return self->close();
+    self->drop();
+  });
+}
+
+void Clients::Session::close() {
   uncount();
   Clients& owner = *owner_;
+  const auto where = place;
+  const bool lingered = lingering();
   end();
-  owner.forget(place);
+  owner.forget(where, lingered);
 }
 
 void Clients::Session::end() {
@@ -180,6 +205,14 @@
   socket_.close(ignored);
 }
 
-void Clients::Session::orphan() { end(); }
+void Clients::Session::orphan() {
+  boost::system::error_code error;
+  socket_.shutdown(tcp::socket::shutdown_send, error);
+  socket_.non_blocking(true, error);
+  for (size_t count = 0; !error && count < kMostDropped;) {
+    count += socket_.read_some(boost::asio::buffer(bytes_), error);
+  }
+  end();
+}
 
 }  // namespace firspool::relay
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -28,17 +28,20 @@
   void push_out();
   // Wakes a pending read, which then decides: bytes that came in the meantime are a request to be served.
   void finish();
+  bool lingering() const { return state_ == State::kLingering; }
   // Ends it at once, whatever its state: what it counted is given back, and the owner forgets it.
   void close();
-  // The owner is gone.
+  // The owner is gone: it ends at once, and what was answered is still handed over.
   void orphan();
 
  private:
-  // What is owed in each: nothing while reading, the answer while deciding, the rest of it while writing.
+  // What is owed in each: nothing while reading, the answer while deciding, the rest of it while writing, and
+  // nothing but an orderly end while lingering.
   enum class State {
-    kReading,   // waits for a request, or for the rest of one
-    kDeciding,  // one is with its command; nothing more is read
-    kWriting,   // its answer is on the way; nothing more is read
+    kReading,    // waits for a request, or for the rest of one
+    kDeciding,   // one is with its command; nothing more is read
+    kWriting,    // its answer is on the way; nothing more is read
+    kLingering,  // no more is sent; what still comes is read and dropped
     kClosed,
   };
   // How long a read may still take.
@@ -64,6 +67,10 @@
   void handle(const std::vector<std::string>& words);
   void answer_last(std::string line);
   void answer(std::string line);
+  // A close over unread bytes would reset the connection, and an answer that the peer has not read would go
+  // with it: the sending side ends first, and the socket is closed after the peer's end or a bound.
+  void linger();
+  void drop();
   void end();
 
   Clients* owner_;
@@ -78,6 +85,7 @@
   Patience patience_ = Patience::kQuiet;
   bool pushed_out_ = false;
   size_t counted_ = 0;  // bytes that the owner counts of it
+  size_t dropped_ = 0;  // bytes that came while lingering
   bool last_ = false;
 };
 
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -31,35 +31,68 @@
     if (own < 0)
       throw boost::system::system_error(errno, boost::system::system_category(), "inherited socket");
     acceptor_.assign(listen.protocol(), own);
-    accept();
-    return;
+  } else {
+    acceptor_.open(listen.protocol());
+    acceptor_.set_option(tcp::acceptor::reuse_address(true));
+    acceptor_.bind(listen);
+    acceptor_.listen();
   }
-  acceptor_.open(listen.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(listen);
-  acceptor_.listen();
   accept();
 }
 
 Clients::~Clients() {
-  for (const auto& session : sessions_) session->orphan();
+  for (const auto* sessions : {&sessions_, &lingering_}) {
+    for (const auto& session : *sessions) session->orphan();
+  }
 }
 
 void Clients::accept() {
-  // At the limit further clients wait in the backlog: to close one would lose what it has written.
-  if (finishing_ || accepting_ || sessions_.size() >= limits_.connections) return;
+  if (finishing_ || accepting_) return;
+  // At the limit further clients wait in the backlog: to close one would lose what it has written. But a
+  // connection that only waits for its peer's end gives its place up to them.
+  if (full() && lingering_.empty()) return;
   accepting_ = true;
+  if (full()) {
+    acceptor_.async_wait(tcp::acceptor::wait_read, [this](const boost::system::error_code& error) {
+      if (error == boost::asio::error::operation_aborted || finishing_) return;
+      accepting_ = false;
+      if (full() && !lingering_.empty()) return lingering_.front()->close();  // and comes back here
+      accept();
+    });
+    return;
+  }
   acceptor_.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
     if (error == boost::asio::error::operation_aborted) return;
+    if (!error) admit(std::move(socket));
+    if (finishing_) return;
     accepting_ = false;
-    if (error) {  // out of descriptors, or the client is gone again: an accept at once would spin
-      pause_.expires_after(kAcceptPause);
-      pause_.async_wait([this](const boost::system::error_code& stopped) {
-        if (!stopped) accept();
-      });
-      return;
+    if (error == boost::asio::error::no_descriptors && !lingering_.empty()) {
+      return lingering_.front()->close();
     }
-    admit(std::move(socket));
+    if (error) return pause();
+    accept();
+  });
+}
+
+boost::system::error_code Clients::accept_next() {
+  boost::system::error_code ignored;
+  acceptor_.non_blocking(true, ignored);
+  while (true) {
+    boost::system::error_code error;
+    tcp::socket socket = acceptor_.accept(io_, error);
+    if (!error) admit(std::move(socket));
+    if (error != boost::asio::error::no_descriptors || lingering_.empty()) return error;
+    lingering_.front()->close();
+  }
+}
+
+// Out of descriptors, or the client is gone again: an accept at once would spin.
+void Clients::pause() {
+  accepting_ = true;
+  pause_.expires_after(kAcceptPause);
+  pause_.async_wait([this](const boost::system::error_code& stopped) {
+    if (stopped) return;
+    accepting_ = false;
     accept();
   });
 }
@@ -72,8 +105,13 @@
   session->begin();
 }
 
-void Clients::forget(std::list<std::shared_ptr<Session>>::iterator place) {
-  sessions_.erase(place);
+void Clients::lingers(Sessions::iterator place) {
+  lingering_.splice(lingering_.end(), sessions_, place);
+  accept();
+}
+
+void Clients::forget(Sessions::iterator place, bool lingered) {
+  (lingered ? lingering_ : sessions_).erase(place);
   accept();
 }
 
@@ -101,13 +139,8 @@
 }
 
 void Clients::drain() {
-  boost::system::error_code ignored;
   // What waits in the backlog would be reset with its request unread: it is served too.
-  acceptor_.non_blocking(true, ignored);
-  boost::system::error_code none;
-  for (tcp::socket next = acceptor_.accept(io_, none); !none; next = acceptor_.accept(io_, none)) {
-    admit(std::move(next));
-  }
+  while (!accept_next()) continue;
 }
 
 }  // namespace firspool::relay
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -42,7 +42,8 @@
   void add(const std::string& word, Command command) { commands_[word] = std::move(command); }
 
   tcp::endpoint address() const { return acceptor_.local_endpoint(); }
-  size_t open() const { return sessions_.size(); }
+  // Each holds a descriptor; those that only wait for their peer's end are among them.
+  size_t open() const { return sessions_.size() + lingering_.size(); }
 
   // So many connections at once from now on; those that are open stay.
   void limit(size_t most);
@@ -54,10 +55,17 @@
  private:
   class Session;
 
+  using Sessions = std::list<std::shared_ptr<Session>>;
+
+  bool full() const { return open() >= limits_.connections; }
   void accept();
+  // Takes the next client of the backlog at once, if one waits.
+  boost::system::error_code accept_next();
+  void pause();
   void drain();
   void admit(tcp::socket socket);
-  void forget(std::list<std::shared_ptr<Session>>::iterator place);
+  void lingers(Sessions::iterator place);
+  void forget(Sessions::iterator place, bool lingered);
   void make_room();
 
   boost::asio::io_context& io_;
@@ -68,9 +76,10 @@
   size_t buffered_ = 0;
   std::map<std::string, Command> commands_;
   Busy busy_;
-  bool accepting_ = false;
+  bool accepting_ = false;  // a wait for a client, or a pause after an error, is on
   bool finishing_ = false;
-  std::list<std::shared_ptr<Session>> sessions_;
+  Sessions sessions_;
+  Sessions lingering_;  // the longest at it first
 };
 
 }  // namespace firspool::relay
--- a/tests/clients_test.cpp
+++ b/tests/clients_test.cpp
@@ -99,6 +99,9 @@
   pass(50'000);
   EXPECT_EQ(peers[1].line(), "-BUSY 700");
   EXPECT_TRUE(peers[1].ended());
+  EXPECT_EQ(clients_.open(), 4u);  // until it ends too
+  peers[1].close();
+  pass(20'000);
   EXPECT_EQ(clients_.open(), 3u);
   peers[2].send(bytes.substr(40'000));
   client_.send(put_bytes("a2", kFacts));
