Refuse a request with bytes behind it that begin none

Commands are arrays of bulk strings. The parser now throws when the byte behind a command is read with it and is no '*'. A client that pipelines is not touched.

Seen to fail without it: clients_peers_test.cpp TakesOnNothingWithOtherBytesBehindIt, all four kinds answered +OK and handed on.

--- a/relay/resp.cpp
+++ b/relay/resp.cpp
@@ -42,6 +42,7 @@
     if (bytes.substr(at + *length, 2) != "\r\n") throw RespError("word does not end where it should");
     at += *length + 2;
   }
+  if (at < bytes.size() && bytes[at] != '*') throw RespError("bytes behind a request");
   std::vector<std::string> out(words.begin(), words.end());
   buffer_.erase(0, at);
   return out;
--- a/relay/resp.h
+++ b/relay/resp.h
@@ -22,7 +22,8 @@
 
   void feed(std::string_view bytes) { buffer_.append(bytes); }
 
-  // The next whole command; nothing if more bytes are needed. Throws RespError on what is no command.
+  // The next whole command; nothing if more bytes are needed. Throws RespError on what is no command, and on
+  // a command with bytes behind it that begin none: their sender does not speak the protocol.
   std::optional<std::vector<std::string>> next();
 
   bool empty() const { return buffer_.empty(); }
--- a/tests/clients_peers_test.cpp
+++ b/tests/clients_peers_test.cpp
@@ -95,6 +95,25 @@
   EXPECT_TRUE(handed_.empty());
 }
 
+// Their sender does not speak the protocol, though the first bytes are a request.
+TEST_F(ClientsPeers, TakesOnNothingWithOtherBytesBehindIt) {
+  decide_ = true;
+  const std::string good = put_bytes("a1", kFacts);
+  for (const std::string behind : {"$4\r\nmore\r\n", "more", "\r\n", "GET / HTTP/1.1\r\n"}) {
+    Socket peer = connect();
+    peer.send(good + behind);
+    const std::string all = read_all(peer);
+    EXPECT_TRUE(all.starts_with("-ERR")) << behind << all;
+    EXPECT_TRUE(all.ends_with("end")) << behind << all;
+  }
+  EXPECT_TRUE(handed_.empty());
+  Socket client = connect();
+  client.send(good + good.substr(0, 1));  // the next one has begun
+  ASSERT_TRUE(run_to(1));
+  client.send(good.substr(1));
+  ASSERT_TRUE(run_to(2));
+}
+
 TEST_F(ClientsPeers, APeerThatSendsAByteAtATimeIsTold) {
   Socket peer = connect();
   const std::string bytes = put_bytes("a1", kFacts);
