Let a resting connection hold no memory of its largest request

The parser's buffer kept its capacity: 100 clients that had once sent 60 kB each held 8.3 MB at rest, counted by no bound. It is given back when nothing is left to parse. And a burst of requests is moved once a read, not once a request: each of some 1170 PINGs in 16 KiB moved all that lay behind it. That cannot be forced by a count; what a burst does to others is held by AFloodHoldsNobodyUp.

Seen to fail without it: clients_floods_test.cpp ConnectionsThatRestHoldLittleMemory (8305376 bytes, bound 3276800).

--- a/relay/resp.cpp
+++ b/relay/resp.cpp
@@ -1,6 +1,7 @@
 #include "resp.h"
 
 #include <charconv>
+#include <utility>
 
 namespace firspool::relay {
 namespace {
@@ -26,8 +27,14 @@
 
 }  // namespace
 
+// Commands read are dropped here, all at once: one by one, each would move the whole rest of a burst.
+void RespParser::feed(std::string_view bytes) {
+  buffer_.erase(0, std::exchange(taken_, 0));
+  buffer_.append(bytes);
+}
+
 std::optional<std::vector<std::string>> RespParser::next() {
-  const std::string_view bytes = buffer_;
+  const std::string_view bytes = std::string_view(buffer_).substr(taken_);
   size_t at = 0;
   const auto count = header(bytes, at, '*');
   if (!count) return {};
@@ -42,9 +49,14 @@
     if (bytes.substr(at + *length, 2) != "\r\n") throw RespError("word does not end where it should");
     at += *length + 2;
   }
-  if (at < bytes.size() && bytes[at] != '*') throw RespError("bytes behind a request");
   std::vector<std::string> out(words.begin(), words.end());
-  buffer_.erase(0, at);
+  if (at < bytes.size() && bytes[at] != '*') throw RespError("bytes behind a request");
+  taken_ += at;
+  // A connection that rests holds no memory for the largest request that it ever sent.
+  if (empty()) {
+    std::string().swap(buffer_);
+    taken_ = 0;
+  }
   return out;
 }
 
--- a/relay/resp.h
+++ b/relay/resp.h
@@ -20,17 +20,18 @@
   static constexpr size_t kMostWord = 64 * 1024;  // the largest body
   static constexpr size_t kMostBytes = kMostWord + 8 * 1024;
 
-  void feed(std::string_view bytes) { buffer_.append(bytes); }
+  void feed(std::string_view bytes);
 
   // The next whole command; nothing if more bytes are needed. Throws RespError on what is no command, and on
   // a command with bytes behind it that begin none: their sender does not speak the protocol.
   std::optional<std::vector<std::string>> next();
 
-  bool empty() const { return buffer_.empty(); }
-  size_t size() const { return buffer_.size(); }
+  bool empty() const { return size() == 0; }
+  size_t size() const { return buffer_.size() - taken_; }
 
  private:
   std::string buffer_;
+  size_t taken_ = 0;  // bytes at its front that are commands read already
 };
 
 }  // namespace firspool::relay
--- a/tests/clients_floods_test.cpp
+++ b/tests/clients_floods_test.cpp
@@ -1,4 +1,6 @@
 // Peers that send much, read nothing or keep what they hold: each holds up nobody else.
+#include <malloc.h>
+
 #include "clients_stage.h"
 
 namespace firspool::relay {
@@ -62,5 +64,25 @@
   ASSERT_TRUE(run_until([&] { return waiting(flood) == kPings * 7; }));
 }
 
+// The largest request that each ever sent is not held for as long as it rests.
+TEST_F(ClientsFloods, ConnectionsThatRestHoldLittleMemory) {
+  constexpr size_t kClients = 100;
+  const auto used = [] {
+    const auto all = ::mallinfo2();
+    return all.uordblks + all.hblkhd;
+  };
+  decide_ = true;
+  const std::string large = put_bytes("a1", kFacts, std::string(60'000, 'x'));
+  const size_t before = used();
+  std::vector<Socket> crowd;
+  for (size_t i = 0; i < kClients; ++i) {
+    crowd.push_back(connect());
+    crowd.back().send(large);
+    ASSERT_TRUE(run_until([&] { return waiting(crowd.back()) == 5; }));
+  }
+  ASSERT_EQ(clients_->open(), kClients);
+  EXPECT_LT(used() - before, kClients * 32 * 1024);
+}
+
 }  // namespace
 }  // namespace firspool::relay
