Forget an eviction whose request became whole before the read was woken

The rest of a request may come between the decision to evict and the wake of its read. It was served, but the mark stayed: behind the answer a -BUSY went out that belonged to no request, taken for the answer to the next one, and the connection was closed. A request that is whole now clears the mark.

Seen to fail without it: clients_floods_test.cpp ARequestThatCrossesItsEvictionIsServedAndTheNextOnesToo ("-BUSY 700" for "+PONG").

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -134,6 +134,7 @@
 void Clients::Session::handle(const std::vector<std::string>& words) {
   state_ = State::kDeciding;
   timer_.cancel();
+  pushed_out_ = false;
   patience_ = Patience::kQuiet;
   const std::string command = upper(words[0]);
   if (command == "PING" && words.size() <= 2) {
--- a/tests/clients_floods_test.cpp
+++ b/tests/clients_floods_test.cpp
@@ -64,6 +64,32 @@
   ASSERT_TRUE(run_until([&] { return waiting(flood) == kPings * 7; }));
 }
 
+// It was to make room, and its request became whole before the read was woken: it is a client like any other.
+TEST_F(ClientsFloods, ARequestThatCrossesItsEvictionIsServedAndTheNextOnesToo) {
+  serve({10, 100'000});
+  const std::string large = put_bytes("a1", kFacts, std::string(60'000, 'x'));
+  Socket client = connect();
+  client.send(large.substr(0, 59'000));
+  Socket other = connect();
+  other.send(large.substr(0, 40'000));
+  settle();
+  stall(10'000);
+  settle();
+  other.send(large.substr(40'000, 2'000));
+  stall(10'000);
+  io_.restart();
+  ASSERT_EQ(io_.run_one(), 1u);  // over the bound: the one that holds most is woken
+  client.send(large.substr(59'000));
+  stall(10'000);
+  ASSERT_TRUE(run_to(1));
+  answers_[0]("+OK");
+  ASSERT_TRUE(run_until([&] { return waiting(client) == 5; }));
+  EXPECT_EQ(client.line(), "+OK");
+  client.send(kPing);
+  ASSERT_TRUE(run_until([&] { return waiting(client) > 0; }));
+  EXPECT_EQ(client.line(), "+PONG");
+}
+
 // The largest request that each ever sent is not held for as long as it rests.
 TEST_F(ClientsFloods, ConnectionsThatRestHoldLittleMemory) {
   constexpr size_t kClients = 100;
