Give a new connection a moment for its first request at the planned end

Connections with no open request were closed at once, those accepted a moment before and those from the backlog with them. A client opens one in order to send: a request whose new connection is closed with no answer is refused. One on which nothing came yet now stays until 0.3 s from its accept, and no longer; the process still ends when all connections have.

Seen to fail without it: clients_finish_test.cpp GivesANewConnectionAMomentForItsRequest (run_to(1) false).

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -12,7 +12,10 @@
 // error line or a close within 3 s of connecting. Without this, quiet peers fill all places in the end.
 constexpr auto kQuiet = std::chrono::milliseconds(2000);
 constexpr auto kRestOfRequest = std::chrono::milliseconds(500);  // for one that is under way by then
-// For the peer's end after ours. With the one above it stays under what the end of the process leaves.
+// At the planned end, for the first request on a connection, from its accept on: a client opens one in order
+// to send.
+constexpr Time kFirstRequest = 300'000;
+// For the peer's end after ours. With the two above it stays under what the end of the process leaves.
 constexpr auto kLinger = std::chrono::milliseconds(500);
 constexpr size_t kMostDropped = 1024 * 1024;  // bytes
 
@@ -24,7 +27,11 @@
 }  // namespace
 
 Clients::Session::Session(Clients& owner, tcp::socket socket)
-    : owner_(&owner), socket_(std::move(socket)), timer_(owner.io_), drained_(steady_now()) {}
+    : owner_(&owner),
+      socket_(std::move(socket)),
+      timer_(owner.io_),
+      opened_(steady_now()),
+      drained_(opened_) {}
 
 void Clients::Session::begin() {
   state_ = State::kReading;
@@ -63,11 +70,13 @@
 
 void Clients::Session::finish() {
   if (state_ != State::kReading || !parser_.empty()) return;
+  const Time rest = opened_ + kFirstRequest - steady_now();
+  if (fresh_ && rest > 0) return arm(std::chrono::microseconds(rest));
   boost::system::error_code ignored;
   socket_.cancel(ignored);
 }
 
-void Clients::Session::arm(std::chrono::milliseconds time) {
+void Clients::Session::arm(std::chrono::microseconds time) {
   timer_.expires_after(time);
   timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
     const bool due = self->timer_.expiry() <= boost::asio::steady_timer::clock_type::now();
@@ -134,7 +143,7 @@
 void Clients::Session::handle(const std::vector<std::string>& words) {
   state_ = State::kDeciding;
   timer_.cancel();
-  pushed_out_ = false;
+  fresh_ = pushed_out_ = false;
   patience_ = Patience::kQuiet;
   const std::string command = upper(words[0]);
   if (command == "PING" && words.size() <= 2) {
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -53,7 +53,7 @@
 
   // Looks at what is read so far: handles a whole request, or reads on.
   void proceed();
-  void arm(std::chrono::milliseconds time);
+  void arm(std::chrono::microseconds time);
   void overdue();
   void read(const boost::system::error_code& error, size_t count, bool waited);
   // The bytes of its request that is not whole, in the whole of them.
@@ -79,10 +79,12 @@
   RespParser parser_;
   std::array<char, 16 * 1024> bytes_;
   std::string out_;
+  Time opened_;
   Time drained_;  // when the socket held nothing more to read
   Time read_at_ = 0;
   State state_ = State::kReading;
   Patience patience_ = Patience::kQuiet;
+  bool fresh_ = true;  // no request came on it
   bool pushed_out_ = false;
   size_t counted_ = 0;  // bytes that the owner counts of it
   size_t dropped_ = 0;  // bytes that came while lingering
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -48,8 +48,9 @@
   // So many connections at once from now on; those that are open stay.
   void limit(size_t most);
 
-  // Takes no new connection and closes those that are open, each only between requests. Another process may
-  // accept from an inherited socket: what waits there is left to it.
+  // Takes no new connection and closes those that are open, each only between requests; one that is new
+  // gets a moment for its first. Another process may accept from an inherited socket: what waits there is
+  // left to it.
   void finish();
 
  private:
--- a/tests/clients_finish_test.cpp
+++ b/tests/clients_finish_test.cpp
@@ -8,6 +8,7 @@
 
 using testing::put_bytes;
 
+constexpr Time kQuiet = 2'000'000;
 const std::string kPong = "+PONG\r\n";
 
 class ClientsFinish : public ClientsStage {
@@ -86,6 +87,36 @@
   EXPECT_EQ(all.size(), whole * echo.size());
 }
 
+// A client opens a connection in order to send: closed before, its request is refused.
+TEST_F(ClientsFinish, GivesANewConnectionAMomentForItsRequest) {
+  std::unique_ptr<Socket> client;
+  for (Time took = kQuiet; took > 200'000;) {  // of a moment that the machine was away for, nothing is said
+    handed_.clear();
+    serve({10, 100'000});
+    client = std::make_unique<Socket>(connect());
+    const Time began = steady_now();
+    ASSERT_TRUE(run_until([&] { return clients_->open() == 1; }));
+    clients_->finish();
+    settle();
+    took = steady_now() - began;
+  }
+  client->send(put_bytes("a1", kFacts));
+  ASSERT_TRUE(run_to(1));
+  answers_.back()("+OK");
+  EXPECT_EQ(read_all(*client), "+OK\r\nend");
+  Socket late = connect();
+  EXPECT_FALSE(late.open());  // and nobody can come
+}
+
+TEST_F(ClientsFinish, EndsANewConnectionOnWhichNothingComes) {
+  Socket client = connect();
+  ASSERT_TRUE(run_until([&] { return clients_->open() == 1; }));
+  clients_->finish();
+  EXPECT_EQ(read_all(client), "end");
+  client.close();
+  EXPECT_TRUE(run_until([&] { return clients_->open() == 0; }));
+}
+
 // Of the one that was accepted while it served, and of one from the backlog at its end.
 TEST_F(ClientsFinish, NoAnswerIsHeldBackBySystem) {
   const auto no_delay = [&](const Socket& client) {
