Serve the backlog at the planned end within the clients' limit

The backlog is now taken in as places come free, and the listener closed once nobody waits; out of descriptors it is tried again.

Seen to fail without it: clients_finish_test.cpp ServesTheBacklogWithinTheLimit (12 open at once, limit 3).

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -47,14 +47,15 @@
 }
 
 void Clients::accept() {
-  if (finishing_ || accepting_) return;
+  if (accepting_ || !acceptor_.is_open()) return;
   // At the limit further clients wait in the backlog: to close one would lose what it has written. But a
   // connection that only waits for its peer's end gives its place up to them.
   if (full() && lingering_.empty()) return;
+  if (finishing_ && !full()) return drain();
   accepting_ = true;
   if (full()) {
     acceptor_.async_wait(tcp::acceptor::wait_read, [this](const boost::system::error_code& error) {
-      if (error == boost::asio::error::operation_aborted || finishing_) return;
+      if (error == boost::asio::error::operation_aborted) return;
       accepting_ = false;
       if (full() && !lingering_.empty()) return lingering_.front()->close();  // and comes back here
       accept();
@@ -127,10 +128,14 @@
   finishing_ = true;
   boost::system::error_code ignored;
   acceptor_.cancel(ignored);
-  if (!inherited_) drain();
-  acceptor_.close(ignored);
   pause_.cancel();
+  accepting_ = false;
   for (const auto& session : sessions_) session->finish();
+  if (inherited_) {
+    acceptor_.close(ignored);
+  } else {
+    accept();
+  }
 }
 
 void Clients::limit(size_t most) {
@@ -138,9 +143,15 @@
   accept();
 }
 
+// What waits in the backlog would be reset with its request unread: it is served too, as places come free.
 void Clients::drain() {
-  // What waits in the backlog would be reset with its request unread: it is served too.
-  while (!accept_next()) continue;
+  accepting_ = true;  // what is closed on the way comes back here
+  boost::system::error_code error;
+  while (!full() && !error) error = accept_next();
+  accepting_ = false;
+  if (!error) return accept();  // full: one that only waits for its peer's end may make room
+  if (error != boost::asio::error::would_block) return pause();
+  acceptor_.close(error);  // nobody waits
 }
 
 }  // namespace firspool::relay
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -48,9 +48,9 @@
   // So many connections at once from now on; those that are open stay.
   void limit(size_t most);
 
-  // Takes no new connection and closes those that are open, each only between requests; one that is new
-  // gets a moment for its first. Another process may accept from an inherited socket: what waits there is
-  // left to it.
+  // Closes the connections that are open, each only between requests; one that is new gets a moment for its
+  // first. Takes no new connection but those that wait already, as there are places for them. Another process
+  // may accept from an inherited socket: what waits there is left to it.
   void finish();
 
  private:
--- a/tests/clients_finish_test.cpp
+++ b/tests/clients_finish_test.cpp
@@ -1,6 +1,8 @@
 // Connections of clients at the relay's planned end.
 #include <netinet/tcp.h>
 
+#include <algorithm>
+
 #include "clients_stage.h"
 
 namespace firspool::relay {
@@ -117,6 +119,28 @@
   EXPECT_TRUE(run_until([&] { return clients_->open() == 0; }));
 }
 
+// Those that wait are served one after another: calls and the journal keep their descriptors.
+TEST_F(ClientsFinish, ServesTheBacklogWithinTheLimit) {
+  serve({3, 100'000});
+  decide_ = true;
+  std::vector<Socket> crowd;
+  for (int i = 0; i < 12; ++i) {
+    crowd.push_back(connect());
+    crowd.back().send(put_bytes("a" + std::to_string(i), kFacts));
+  }
+  clients_->finish();
+  size_t most = 0;
+  ASSERT_TRUE(run_until([&] {
+    most = std::max(most, clients_->open());
+    for (Socket& client : crowd) {
+      if (waiting(client) == 5 && client.exactly(5) == "+OK\r\n") client.close();
+    }
+    return std::ranges::none_of(crowd, [](const Socket& client) { return client.open(); });
+  }));
+  EXPECT_EQ(handed_.size(), 12u);
+  EXPECT_LE(most, 3u);
+}
+
 // Of the one that was accepted while it served, and of one from the backlog at its end.
 TEST_F(ClientsFinish, NoAnswerIsHeldBackBySystem) {
   const auto no_delay = [&](const Socket& client) {
