--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -48,7 +48,7 @@
   }
   count();
   if (words) return handle(*words);
-  if (pushed_out_) return answer_last(owner_->busy_());
+  if (evicted_) return answer_last(owner_->busy_());
   if (patience_ == Patience::kOver) return answer_last("-ERR protocol error: request is not complete");
   // What is there already came at some time since the last read.
   boost::system::error_code failed;
@@ -57,12 +57,12 @@
       boost::asio::buffer(bytes_),
       [self = shared_from_this(), waited](auto error, size_t count) { self->read(error, count, waited); });
   if (owner_->finishing_) finish();
-  owner_->make_room();
+  owner_->evict_largest();
 }
 
-void Clients::Session::push_out() {
+void Clients::Session::evict() {
   if (buffered() == 0) return;
-  pushed_out_ = true;
+  evicted_ = true;
   uncount();
   boost::system::error_code ignored;
   socket_.cancel(ignored);
@@ -112,13 +112,13 @@
   boost::system::error_code failed;
   const bool woken = error == boost::asio::error::operation_aborted;
   if (woken && socket_.available(failed) > 0 && !failed) return proceed_once();
-  if (patience_ == Patience::kOver || pushed_out_) return proceed();
+  if (patience_ == Patience::kOver || evicted_) return proceed();
   if (woken) return linger();
   close();  // the peer ended, and nothing of it is unread
 }
 
 void Clients::Session::count() {
-  if (pushed_out_) return;
+  if (evicted_) return;
   owner_->buffered_ += parser_.size() - counted_;
   counted_ = parser_.size();
 }
@@ -143,7 +143,7 @@
 void Clients::Session::handle(const std::vector<std::string>& words) {
   state_ = State::kDeciding;
   timer_.cancel();
-  fresh_ = pushed_out_ = false;
+  fresh_ = evicted_ = false;
   patience_ = Patience::kQuiet;
   const std::string command = upper(words[0]);
   if (command == "PING" && words.size() <= 2) {
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -22,10 +22,10 @@
   // Waits for a request: the first, or the next one after an answer.
   void begin();
 
-  // Bytes that push_out() would free.
-  size_t buffered() const { return state_ == State::kReading && !pushed_out_ ? counted_ : 0; }
-  // Ends the read, which then answers.
-  void push_out();
+  // Bytes that evict() would free.
+  size_t buffered() const { return state_ == State::kReading && !evicted_ ? counted_ : 0; }
+  // For want of memory: ends the read, which then answers so.
+  void evict();
   // Wakes a pending read, which then decides: bytes that came in the meantime are a request to be served.
   void finish();
   bool lingering() const { return state_ == State::kLingering; }
@@ -85,7 +85,7 @@
   State state_ = State::kReading;
   Patience patience_ = Patience::kQuiet;
   bool fresh_ = true;  // no request came on it
-  bool pushed_out_ = false;
+  bool evicted_ = false;
   size_t counted_ = 0;  // bytes that the owner counts of it
   size_t dropped_ = 0;  // bytes that came while lingering
   bool last_ = false;
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -117,11 +117,11 @@
 }
 
 // Peers that leave their requests unfinished would have the memory: the one that holds most of it goes.
-void Clients::make_room() {
+void Clients::evict_largest() {
   if (buffered_ <= limits_.bytes) return;
   (*std::ranges::max_element(sessions_, {}, [](const auto& session) {
     return session->buffered();
-  }))->push_out();
+  }))->evict();
 }
 
 void Clients::finish() {
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -67,7 +67,7 @@
   void admit(tcp::socket socket);
   void lingers(Sessions::iterator place);
   void forget(Sessions::iterator place, bool lingered);
-  void make_room();
+  void evict_largest();
 
   boost::asio::io_context& io_;
   tcp::acceptor acceptor_;
