--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -10,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "connection_pool.h"
 #include "directory.h"
 #include "message.h"
 
@@ -34,6 +34,8 @@
     Time connect_timeout = 0;
     Time idle = 0;  // a host closes a connection that has been idle for so long
     size_t most_idle = 256;
+
+    ConnectionPool::Limits pool() const { return {idle, most_idle}; }
   };
   // Asked right before a call's first byte: a call that may no longer start ends as kMoot.
   using MayStart = std::function<bool(const Call&)>;
@@ -48,12 +50,12 @@
   void call(Call call);
   void cancel(uint64_t id, int attempt);
   void probe(const Endpoint& endpoint, const tcp::endpoint& address);
-  void close_idle(const Endpoint& endpoint);
-  void close_all_idle();
+  void close_idle(const Endpoint& endpoint) { pool_.close(endpoint); }
+  void close_all_idle() { pool_.close_all(); }
   // Other limits and fields from now on; calls that are out keep theirs.
   void retune(Limits limits, std::vector<std::string> report_fields);
   size_t out() const { return exchanges_.size(); }
-  size_t idle() const { return idle_count_; }
+  size_t idle() const { return pool_.size(); }
 
   struct Broken {  // calls that ended as resets
     size_t fresh = 0;
@@ -64,16 +66,8 @@
 
  private:
   class Exchange;
-  struct Idle {
-    tcp::socket socket;
-    Time since = 0;
-  };
-
-  std::optional<Idle> take(const Endpoint& endpoint, const tcp::endpoint& address);
   void count_broken(std::optional<Time> idle_for);
-  void keep(const Endpoint& endpoint, tcp::socket socket);
   void start(std::shared_ptr<Exchange> exchange);
-  void sweep();
 
   boost::asio::io_context& io_;
   Limits limits_;
@@ -82,11 +76,9 @@
   Written on_written_;
   Ended ended_;
   Probed probed_;
-  boost::asio::steady_timer sweeper_;
+  ConnectionPool pool_;
   uint64_t last_probe_ = 0;
-  size_t idle_count_ = 0;
   Broken broken_;
-  std::map<Endpoint, std::vector<Idle>> idle_;  // the most recently used last
   std::map<std::tuple<bool, uint64_t, int>, std::shared_ptr<Exchange>> exchanges_;
 };
 
