Know at any moment what the kernel has of a call: one given up may have run

Cause: the request went out by an asynchronous write, whose bytes the kernel mostly takes when it is begun, while written_ was set by its handler, later.

Exchange::push now writes without blocking and counts the bytes that the kernel took, so the call has not run exactly while sent_ is short of the request. A failed write takes no byte, so the path of an error never holds for a whole request.

--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -93,23 +93,36 @@
     return finish(Outcome::kMoot);
   }
   began_ = true;
-  request_.version(11);
-  request_.method(probe_ ? http::verb::get : http::verb::post);
-  request_.target(probe_ ? "/-/healthy" : "/events");
-  request_.set(http::field::host, call_.address.address().to_string());
-  if (!probe_) {
-    request_.set("X-Call-Id", call_.call_id);
-    if (!call_.key.empty()) request_.set("Idempotency-Key", call_.key);
-    request_.set("X-Budget", budget_text(deadline_ - steady_now()));
-    request_.body() = std::move(call_.body);
-    request_.prepare_payload();
+  request_ = request_text();
+  std::string().swap(call_.body);
+  push();
+}
+
+std::string Upstream::Exchange::request_text() const {
+  std::string out = probe_ ? "GET /-/healthy HTTP/1.1\r\n" : "POST /events HTTP/1.1\r\n";
+  out += "Host: " + call_.address.address().to_string() + "\r\n";
+  if (probe_) return out + "\r\n";
+  out += "X-Call-Id: " + call_.call_id + "\r\n";
+  if (!call_.key.empty()) out += "Idempotency-Key: " + call_.key + "\r\n";
+  out += "X-Budget: " + budget_text(deadline_ - steady_now()) + "\r\n";
+  return out + "Content-Length: " + std::to_string(call_.body.size()) + "\r\n\r\n" + call_.body;
+}
+
+void Upstream::Exchange::push() {
+  Error error;
+  socket_.non_blocking(true, error);
+  if (!error) sent_ += socket_.write_some(boost::asio::buffer(request_) + sent_, error);
+  if (error && error != boost::asio::error::would_block) return finish(Outcome::kConnectFailed);
+  if (sent_ == request_.size()) {
+    std::string().swap(request_);
+    written_ = true;
+    if (!probe_) owner_->on_written_(call_);
+    return read();
   }
-  http::async_write(socket_, request_, [self = shared_from_this()](const Error& error, size_t) {
+  socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const Error& failed) {
     if (self->over_) return;
-    if (error) return self->finish(Outcome::kConnectFailed);
-    self->written_ = true;
-    if (!self->probe_) self->owner_->on_written_(self->call_);
-    self->read();
+    if (failed) return self->finish(Outcome::kConnectFailed);
+    self->push();
   });
 }
 
--- a/relay/exchange.h
+++ b/relay/exchange.h
@@ -36,6 +36,11 @@
   void unread(Outcome outcome);
   bool says_delivered() const;
   void write();
+  std::string request_text() const;
+
+  // Hands the kernel what it takes at once, so that what it has of the request is known at any moment: a
+  // write that is in flight could be over, and the call run, before its handler says so.
+  void push();
   void read();
 
   // A 200 decides, also where the rest of the answer is lost; of another answer all must be there to count.
@@ -47,7 +52,8 @@
   bool probe_;
   tcp::socket socket_;
   boost::asio::steady_timer timer_;
-  boost::beast::http::request<boost::beast::http::string_body> request_;
+  std::string request_;
+  size_t sent_ = 0;  // bytes of it that the kernel has
   boost::beast::flat_buffer buffer_{kMostBody};
   std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
   Time begun_ = 0;
