Take nothing that a host says before a call's last byte for its answer

Cause: nothing was read while a request went out, so a 200 that lay there before its last byte was read after it as its answer: a call ended as delivered that the host may never have begun.

Exchange::push looks before each write; on anything to be read it ends the call unwritten, as kConnectFailed. Between that look and the write there is no turn of ours.

Seen to fail without it (tests/upstream_writing_test.cpp:63, :76 and :86, delivered or a reset for kConnectFailed): AnAnswerThatComesBeforeTheLastByteIsNone, AnEndThatComesBeforeTheLastByteNeverRan, AnAnswerThatComesBeforeTheFirstByteIsNone.

--- a/relay/connection_pool.cpp
+++ b/relay/connection_pool.cpp
@@ -13,15 +13,14 @@
 constexpr Time kIdleMargin = kSecond;  // idle connections go so long before the host closes them
 constexpr size_t kMostPerHost = 64;
 
-// A closed or chattering peer shows in what can be read from a connection that should be silent.
+}  // namespace
+
 bool usable(tcp::socket& socket) {
   char byte = 0;
   const ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-}  // namespace
-
 ConnectionPool::ConnectionPool(boost::asio::io_context& io, Limits limits) : limits_(limits), sweeper_(io) {
   sweep();
 }
--- a/relay/connection_pool.h
+++ b/relay/connection_pool.h
@@ -12,6 +12,9 @@
 
 namespace firspool::relay {
 
+// A closed or chattering peer shows in what can be read from a connection that should be silent.
+bool usable(tcp::socket& socket);
+
 class ConnectionPool {
  public:
   struct Limits {
--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -109,6 +109,7 @@
 }
 
 void Upstream::Exchange::push() {
+  if (!usable(socket_)) return finish(Outcome::kConnectFailed);
   Error error;
   socket_.non_blocking(true, error);
   if (!error) sent_ += socket_.write_some(boost::asio::buffer(request_) + sent_, error);
--- a/relay/exchange.h
+++ b/relay/exchange.h
@@ -39,7 +39,8 @@
   std::string request_text() const;
 
   // Hands the kernel what it takes at once, so that what it has of the request is known at any moment: a
-  // write that is in flight could be over, and the call run, before its handler says so.
+  // write that is in flight could be over, and the call run, before its handler says so. What the host says
+  // or does before the last byte answers no call, and that byte is not sent then.
   void push();
   void read();
 
--- a/tests/upstream_writing_test.cpp
+++ b/tests/upstream_writing_test.cpp
@@ -52,5 +52,41 @@
   EXPECT_TRUE(began_);
 }
 
+// What the host says before the last byte answers no call; the rest is not sent, so this one never runs.
+TEST_F(UpstreamWriting, AnAnswerThatComesBeforeTheLastByteIsNone) {
+  begin(kHour, kMoreThanTheKernelTakes);
+  Socket host = listener_.accept();
+  run_until_asked();
+  ASSERT_TRUE(host.send(kOk));
+  size_t got = 0;
+  std::thread reader([&] { got = testing::read_request(host)->body.size(); });
+  EXPECT_EQ(end().outcome, Outcome::kConnectFailed);
+  reader.join();
+  EXPECT_LT(got, kMoreThanTheKernelTakes.size());
+  EXPECT_EQ(upstream_.idle(), 0u);
+}
+
+TEST_F(UpstreamWriting, AnEndThatComesBeforeTheLastByteNeverRan) {
+  begin(kHour, kMoreThanTheKernelTakes);
+  Socket host = listener_.accept();
+  run_until_asked();
+  ASSERT_EQ(::shutdown(host.fd(), SHUT_WR), 0);
+  size_t got = 0;
+  std::thread reader([&] { got = testing::read_request(host)->body.size(); });
+  EXPECT_EQ(end().outcome, Outcome::kConnectFailed);
+  reader.join();
+  EXPECT_LT(got, kMoreThanTheKernelTakes.size());
+}
+
+// The host was fresh and spoke first: nothing is written to it.
+TEST_F(UpstreamWriting, AnAnswerThatComesBeforeTheFirstByteIsNone) {
+  begin();
+  Socket host = listener_.accept();
+  ASSERT_TRUE(host.send(kOk));
+  EXPECT_EQ(end().outcome, Outcome::kConnectFailed);
+  EXPECT_FALSE(written_);
+  EXPECT_EQ(host.exactly(1), "");
+}
+
 }  // namespace
 }  // namespace firspool::relay
