Say in one table what the end of an attempt proves of a run

The module (Messages::ended) and the relay (Relay::ended) each had their own list of the outcomes that prove that a message did not run. Both now ask ran_after in include/firspool/attempt_end.h. No behaviour changes: where the lists differed (kMoot), the module returns before it asks.

--- a/relay/turn.cpp
+++ b/relay/turn.cpp
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 
+#include "firspool/attempt_end.h"
 #include "known.h"
 #include "log.h"
 #include "relay.h"
@@ -48,8 +49,6 @@
 }
 
 void Relay::ended(const AttemptEnded& end, bool began) {
-  const bool never = end.outcome == Outcome::kFull || end.outcome == Outcome::kConnectFailed ||
-                     end.outcome == Outcome::kMoot;
   const ListedHost* host = directory_.find(end.endpoint);
   if (end.wait > 0 && host != nullptr) waits_.tell(lane_of(host->member), steady_now() + end.wait);
   if (Custody::Held* held = custody_.find(end.id)) {
@@ -58,7 +57,8 @@
       custody_.finish(end.id, {}, Reason::kTime, end.outcome == Outcome::kOk);
     } else {
       returned_.push_back(end.id);
-      if (began && never) custody_.journal().never_ran(held->handed.id, end.attempt);
+      if (began && ran_after(end.outcome) == Ran::kNever)
+        custody_.journal().never_ran(held->handed.id, end.attempt);
     }
   }
   happened(end);
--- a/src/messages.h
+++ b/src/messages.h
@@ -1,6 +1,7 @@
 // Messages: what each is worth and until when, what its rules still allow, and whose turn it is.
 #pragma once
 
+#include "firspool/attempt_end.h"
 #include "state.h"
 
 namespace firspool::detail {
@@ -52,8 +53,7 @@
     if (e.outcome == Outcome::kMoot) return;
     m.repeat = true;
     pause(m);
-    const bool unseen = e.outcome == Outcome::kFull || e.outcome == Outcome::kConnectFailed;
-    if (unseen || m.ran) return;
+    if (ran_after(e.outcome) == Ran::kNever || m.ran) return;
     m.ran = true;
     m.ran_sent = attempt.sent;
     m.ran_zone = zone;
