Give a call one state, and one table of what it is that ends in it

A call's connection was told by five flags (short_, began_, written_, over_, idle_), and three places decided what an end meant. It now is at one Moment, broke() asks outcome_of in relay/call_moment.h what an end at that moment is, and finish() alone settles. No behaviour changes.

--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -30,12 +30,16 @@
     arm(deadline_);
     return write();
   }
+  connect();
+}
+
+void Upstream::Exchange::connect() {
   const Time connected_by = std::min(begun_ + call_.timeout, begun_ + owner_->limits_.connect_timeout);
   short_ = !probe_ && call_.budget.cap(call_.start_by) < connected_by;
   arm(short_ ? call_.budget.cap(call_.start_by) : connected_by);
   socket_.async_connect(call_.address, [self = shared_from_this()](const Error& error) {
-    if (self->over_) return;
-    if (error) return self->finish(Outcome::kConnectFailed);
+    if (self->moment_ == Moment::kOver) return;
+    if (error) return self->broke(Break::kConnection);
     Error ignored;
     self->socket_.set_option(tcp::no_delay(true), ignored);
     self->arm(self->deadline_);
@@ -44,7 +48,7 @@
 }
 
 void Upstream::Exchange::orphan() {
-  over_ = true;
+  moment_ = Moment::kOver;
   owner_ = nullptr;
   Error ignored;
   socket_.close(ignored);
@@ -54,28 +58,23 @@
 void Upstream::Exchange::arm(Time at) {
   timer_.expires_at(std::chrono::steady_clock::time_point(std::chrono::microseconds(at)));
   timer_.async_wait([self = shared_from_this()](const Error& error) {
-    if (!error && !self->over_) self->overdue();
+    if (!error && self->moment_ != Moment::kOver) self->overdue();
   });
 }
 
+// That too little time is left for a connect says nothing of the host.
 void Upstream::Exchange::overdue() {
-  if (short_ && !began_) return finish(Outcome::kMoot);
-  give_up(Outcome::kTimeout);
-}
-
-void Upstream::Exchange::give_up(Outcome outcome) {
-  if (over_) return;
-  if (parser_ && parser_->is_header_done()) return answered(false);
-  unread(written_ ? outcome : Outcome::kConnectFailed);
+  if (moment_ == Moment::kConnecting && short_) return finish(Outcome::kMoot);
+  broke(Break::kTimeout);
 }
 
-void Upstream::Exchange::unread(Outcome outcome) {
-  if (!says_delivered()) return finish(outcome);
-  final_ = true;
-  finish(Outcome::kOk);
+void Upstream::Exchange::broke(Break how) {
+  const Outcome outcome = outcome_of(moment_, how, says_200());
+  end_.final = outcome == Outcome::kOk;
+  finish(outcome);
 }
 
-bool Upstream::Exchange::says_delivered() const {
+bool Upstream::Exchange::says_200() const {
   if (!parser_) return false;
   if (parser_->get().result_int() == 200) return true;
   const auto bytes = buffer_.data();
@@ -88,11 +87,8 @@
 
 void Upstream::Exchange::write() {
   // The connection took its time: what was told meanwhile counts.
-  if (!probe_ && !owner_->may_start_(call_)) {
-    idle_ = true;
-    return finish(Outcome::kMoot);
-  }
-  began_ = true;
+  if (!probe_ && !owner_->may_start_(call_)) return finish(Outcome::kMoot, Then::kKeep);
+  moment_ = Moment::kWriting;
   request_ = request_text();
   std::string().swap(call_.body);
   push();
@@ -109,20 +105,20 @@
 }
 
 void Upstream::Exchange::push() {
-  if (!usable(socket_)) return finish(Outcome::kConnectFailed);
+  if (!usable(socket_)) return broke(Break::kConnection);
   Error error;
   socket_.non_blocking(true, error);
   if (!error) sent_ += socket_.write_some(boost::asio::buffer(request_) + sent_, error);
-  if (error && error != boost::asio::error::would_block) return finish(Outcome::kConnectFailed);
+  if (error && error != boost::asio::error::would_block) return broke(Break::kConnection);
   if (sent_ == request_.size()) {
+    moment_ = Moment::kAwaitingHead;
     std::string().swap(request_);
-    written_ = true;
     if (!probe_) owner_->on_written_(call_);
     return read();
   }
   socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const Error& failed) {
-    if (self->over_) return;
-    if (failed) return self->finish(Outcome::kConnectFailed);
+    if (self->moment_ == Moment::kOver) return;
+    if (failed) return self->broke(Break::kConnection);
     self->push();
   });
 }
@@ -131,47 +127,51 @@
   parser_.emplace();
   parser_->body_limit(kMostBody);
   parser_->get().result(0u);  // no status until one was read: a fresh response says 200
-  http::async_read_header(
-      socket_, buffer_, *parser_, [self = shared_from_this()](const Error& error, size_t) {
-        if (self->over_) return;
-        if (error) return self->unread(Outcome::kReset);
-        self->arm(std::min(self->deadline_, steady_now() + kRestOfAnswer));
-        http::async_read(self->socket_, self->buffer_, *self->parser_, [self](const Error& failed, size_t) {
-          if (!self->over_) self->answered(!failed);
-        });
-      });
+  const auto body_read = [self = shared_from_this()](const Error& error, size_t) {
+    if (self->moment_ == Moment::kOver) return;
+    if (error) return self->broke(Break::kConnection);
+    const bool keep = self->parser_->keep_alive() && self->buffer_.size() == 0;
+    self->answered(keep ? Then::kKeep : Then::kClose);
+  };
+  const auto head_read = [self = shared_from_this(), body_read](const Error& error, size_t) {
+    if (self->moment_ == Moment::kOver) return;
+    if (error) return self->broke(Break::kConnection);
+    self->moment_ = Moment::kReadingBody;
+    self->end_.report =
+        parse_report(view(self->parser_->get()["X-Load-Report"]), self->owner_->report_fields_);
+    self->arm(std::min(self->deadline_, steady_now() + kRestOfAnswer));
+    http::async_read(self->socket_, self->buffer_, *self->parser_, body_read);
+  };
+  http::async_read_header(socket_, buffer_, *parser_, head_read);
 }
 
-void Upstream::Exchange::answered(bool whole) {
+void Upstream::Exchange::answered(Then then) {
   const auto& answer = parser_->get();
-  idle_ = whole && parser_->keep_alive() && buffer_.size() == 0;
-  report_ = parse_report(view(answer["X-Load-Report"]), owner_->report_fields_);
-  if (!whole && answer.result_int() != 200) return finish(Outcome::kReset);
   switch (answer.result_int()) {
     case 200:
-      final_ = true;
-      return finish(Outcome::kOk);
+      end_.final = true;
+      return finish(Outcome::kOk, then);
     case 410:
-      final_ = true;
-      return finish(Outcome::kMoot);
+      end_.final = true;
+      return finish(Outcome::kMoot, then);
     case 429:
-      wait_ = static_cast<Time>(std::ceil(decimal(view(answer[http::field::retry_after])) * 1e6));
-      return finish(Outcome::kFull);
+      end_.wait = static_cast<Time>(std::ceil(decimal(view(answer[http::field::retry_after])) * 1e6));
+      return finish(Outcome::kFull, then);
     case 503:
-      return finish(view(answer["X-Egress-Full"]) == "1" ? Outcome::kMoot : Outcome::kFull);
+      return finish(view(answer["X-Egress-Full"]) == "1" ? Outcome::kMoot : Outcome::kFull, then);
     case 504:
-      return finish(Outcome::kMoot);
+      return finish(Outcome::kMoot, then);
     default:
-      return finish(Outcome::kError);
+      return finish(Outcome::kError, then);
   }
 }
 
-void Upstream::Exchange::finish(Outcome outcome) {
-  over_ = true;
+void Upstream::Exchange::finish(Outcome outcome, Then then) {
+  const bool began = std::exchange(moment_, Moment::kOver) != Moment::kConnecting;
   timer_.cancel();
   const auto self = shared_from_this();
   owner_->exchanges_.erase(name());
-  if (idle_) {
+  if (then == Then::kKeep) {
     owner_->pool_.keep(call_.endpoint, std::move(socket_));
   } else {
     Error ignored;
@@ -183,17 +183,15 @@
     owner_->close_idle(call_.endpoint);
   }
   if (outcome == Outcome::kReset) owner_->count_broken(idle_for_);
-  const Time took = steady_now() - begun_;
-  if (probe_) return owner_->probed_({call_.endpoint, outcome == Outcome::kOk, took, std::move(report_)});
-  AttemptEnded out;
-  out.id = call_.id;
-  out.attempt = call_.attempt;
-  out.endpoint = call_.endpoint;
-  out.outcome = outcome;
-  out.final = final_;
-  out.took = took;
-  out.wait = wait_;
-  out.report = std::move(report_);
-  owner_->ended_(out, began_);
+  end_.took = steady_now() - begun_;
+  if (probe_) {
+    return owner_->probed_({call_.endpoint, outcome == Outcome::kOk, end_.took, std::move(end_.report)});
+  }
+  end_.id = call_.id;
+  end_.attempt = call_.attempt;
+  end_.endpoint = call_.endpoint;
+  end_.outcome = outcome;
+  owner_->ended_(end_, began);
 }
+
 }  // namespace firspool::relay
--- a/relay/exchange.h
+++ b/relay/exchange.h
@@ -6,6 +6,7 @@
 #include <boost/beast/http.hpp>
 #include <optional>
 
+#include "call_moment.h"
 #include "upstream.h"
 
 namespace firspool::relay {
@@ -17,24 +18,14 @@
   std::tuple<bool, uint64_t, int> name() const { return {probe_, call_.id, call_.attempt}; }
 
   void start();
-  void cancel() { give_up(Outcome::kCancelled); }
-
-  void orphan();
+  void cancel() { broke(Break::kCancelled); }
+  void orphan();  // its owner goes: nobody is told
 
  private:
   static constexpr size_t kMostBody = 64 * 1024;
+  enum class Then { kClose, kKeep };  // what becomes of the connection
 
-  void arm(Time at);
-
-  // That too little time is left for a connect says nothing of the host.
-  void overdue();
-
-  // What was never wholly written cannot have run.
-  void give_up(Outcome outcome);
-
-  // An answer that cannot be read may have run, but a first line that says 200 is true.
-  void unread(Outcome outcome);
-  bool says_delivered() const;
+  void connect();
   void write();
   std::string request_text() const;
 
@@ -44,9 +35,17 @@
   void push();
   void read();
 
-  // A 200 decides, also where the rest of the answer is lost; of another answer all must be there to count.
-  void answered(bool whole);
-  void finish(Outcome outcome);
+  void arm(Time at);
+  void overdue();
+
+  // It ends without a whole answer. A 200 decides, also where the rest of the answer is lost; of another
+  // answer all must be there to count.
+  void broke(Break how);
+  bool says_200() const;
+  void answered(Then then);  // whole
+
+  // The one place that settles a call: its connection, its owner's count, and who is told.
+  void finish(Outcome outcome, Then then = Then::kClose);
 
   Upstream* owner_;
   Call call_;
@@ -59,15 +58,10 @@
   std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
   Time begun_ = 0;
   Time deadline_ = 0;
-  bool short_ = false;  // its time ends before a connect's would
-  bool began_ = false;
-  bool written_ = false;
-  bool over_ = false;
+  Moment moment_ = Moment::kConnecting;
+  bool short_ = false;            // its time to connect is less than a host is owed
   std::optional<Time> idle_for_;  // how long its connection had been idle; none: it is a fresh one
-  bool idle_ = false;             // the connection may be used again
-  bool final_ = false;
-  Time wait_ = 0;
-  std::vector<float> report_;
+  AttemptEnded end_;              // what is known of it so far
 };
 
 }  // namespace firspool::relay
--- a/tests/upstream_outcomes_test.cpp
+++ b/tests/upstream_outcomes_test.cpp
@@ -1,6 +1,7 @@
 // The tables of outcomes, row by row as the protocol's page has them.
 #include <gtest/gtest.h>
 
+#include "call_moment.h"
 #include "firspool/attempt_end.h"
 
 namespace firspool::relay {
@@ -16,5 +17,21 @@
   }
 }
 
+TEST(CallMoment, DecidesWhatACallIsThatEndsInIt) {
+  using enum Moment;
+  for (const Break how : {Break::kConnection, Break::kTimeout, Break::kCancelled}) {
+    for (const bool says_200 : {false, true}) {  // even then: it was said before the request was
+      EXPECT_EQ(outcome_of(kConnecting, how, says_200), Outcome::kConnectFailed);
+      EXPECT_EQ(outcome_of(kWriting, how, says_200), Outcome::kConnectFailed);
+    }
+    EXPECT_EQ(outcome_of(kAwaitingHead, how, true), Outcome::kOk);
+    EXPECT_EQ(outcome_of(kReadingBody, how, true), Outcome::kOk);
+    EXPECT_EQ(outcome_of(kReadingBody, how, false), Outcome::kReset);
+  }
+  EXPECT_EQ(outcome_of(kAwaitingHead, Break::kConnection, false), Outcome::kReset);
+  EXPECT_EQ(outcome_of(kAwaitingHead, Break::kTimeout, false), Outcome::kTimeout);
+  EXPECT_EQ(outcome_of(kAwaitingHead, Break::kCancelled, false), Outcome::kCancelled);
+}
+
 }  // namespace
 }  // namespace firspool::relay
