Let a time-out that was set anew not end a call

Cause: where a connection came up in the very moment in which its time was over, its handler set the timer anew, but the old handler was queued already and ran without an error. The call, just written, ended as timed out (may have run) long before its time, and its answer was lost. Exchange::arm now looks whether the time that is set is over, as the client side does.

Seen to fail without it (tests/upstream_connecting_test.cpp:24, ended for not ended): UpstreamConnecting.ATimeThatWasSetAnewIsNotOver.

--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -55,10 +55,12 @@
   timer_.cancel();
 }
 
+// A handler that is queued while the time is set anew runs all the same, and finds it not yet due.
 void Upstream::Exchange::arm(Time at) {
   timer_.expires_at(std::chrono::steady_clock::time_point(std::chrono::microseconds(at)));
   timer_.async_wait([self = shared_from_this()](const Error& error) {
-    if (!error && self->moment_ != Moment::kOver) self->overdue();
+    const bool due = self->timer_.expiry() <= std::chrono::steady_clock::now();
+    if (!error && due && self->moment_ != Moment::kOver) self->overdue();
   });
 }
 
