Read on after an interim answer, which is not the answer to the call

Cause: a head with a status of 100 to 199 was taken for the whole answer. The call ended as an error that may have run, and its connection went to the pool with the answer proper still to come, where it could be read as the answer to the next call if it came between that call's last look and its write.

Seen to fail without it (tests/upstream_answer_test.cpp:14 and :25, an error): AnInterimAnswerIsNotTheAnswer, InterimAnswersWithoutEndAreBoundedByItsTime. The other 12 tests of the file force crossings that held before: half a line, resets, answers without end, one too many or too late. All 34 tests of this part passed.

--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -138,6 +138,8 @@
   const auto head_read = [self = shared_from_this(), body_read](const Error& error, size_t) {
     if (self->moment_ == Moment::kOver) return;
     if (error) return self->broke(Break::kConnection);
+    const unsigned status = self->parser_->get().result_int();
+    if (status >= 100 && status < 200) return self->read();  // interim: the answer is yet to come
     self->moment_ = Moment::kReadingBody;
     self->end_.report =
         parse_report(view(self->parser_->get()["X-Load-Report"]), self->owner_->report_fields_);
