Set TCP_NODELAY before a connection to a host is begun

Cause: it was set once the connection was up, and an error in that was dropped: small writes could then be held back by the system unseen.

Seen to fail without it (tests/upstream_connecting_test.cpp:41, 0 sockets of 1 without delay): WritesWithoutDelayFromItsFirstMoment. The other new tests force connections that never come up, come up late, or come up in the moment of a cancel; they held before.

--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -37,11 +37,13 @@
   const Time connected_by = std::min(begun_ + call_.timeout, begun_ + owner_->limits_.connect_timeout);
   short_ = !probe_ && call_.budget.cap(call_.start_by) < connected_by;
   arm(short_ ? call_.budget.cap(call_.start_by) : connected_by);
-  socket_.async_connect(call_.address, [self = shared_from_this()](const Error& error) {
+  Error error;
+  socket_.open(call_.address.protocol(), error);
+  if (!error) socket_.set_option(tcp::no_delay(true), error);
+  if (error) return broke(Break::kConnection);
+  socket_.async_connect(call_.address, [self = shared_from_this()](const Error& failed) {
     if (self->moment_ == Moment::kOver) return;
-    if (error) return self->broke(Break::kConnection);
-    Error ignored;
-    self->socket_.set_option(tcp::no_delay(true), ignored);
+    if (failed) return self->broke(Break::kConnection);
     self->arm(self->deadline_);
     self->write();
   });
