--- /dev/null
+++ b/relay/watch.cpp
@@ -0,0 +1,159 @@
+#include "watch.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+
+#include "log.h"
+
+namespace firspool::relay {
+namespace {
+
+namespace http = boost::beast::http;
+using Error = boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kSilence{5000};  // an empty line is due every 2 s
+constexpr size_t kMostLine = 8 * 1024 * 1024;
+
+}  // namespace
+
+// One connection with one endless answer.
+class Watch::Stream : public std::enable_shared_from_this<Stream> {
+ public:
+  explicit Stream(Watch& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {}
+
+  void start(int64_t revision) {
+    heard();
+    request_.version(11);
+    request_.method(http::verb::get);
+    request_.target("/api/targets?stream=1&index=" + std::to_string(revision));
+    request_.set(http::field::host, owner_->address_.address().to_string());
+    parser_.body_limit(boost::none);
+    socket_.async_connect(owner_->address_, [self = shared_from_this()](const Error& error) {
+      if (error) return self->end();
+      http::async_write(self->socket_, self->request_, [self](const Error& failed, size_t) {
+        if (failed) return self->end();
+        http::async_read_header(self->socket_, self->buffer_, self->parser_,
+                                [self](const Error& none, size_t) {
+                                  if (none || self->parser_.get().result_int() != 200) return self->end();
+                                  self->read();
+                                });
+      });
+    });
+  }
+
+  void close() {
+    owner_ = nullptr;
+    Error ignored;
+    socket_.close(ignored);
+    timer_.cancel();
+  }
+
+ private:
+  void read() {
+    http::async_read_some(socket_, buffer_, parser_, [self = shared_from_this()](const Error& error, size_t) {
+      if (self->owner_ == nullptr) return;
+      std::string& body = self->parser_.get().body();
+      self->lines_ += body;
+      body.clear();
+      size_t end = 0;
+      while ((end = self->lines_.find('\n')) != std::string::npos) {
+        self->heard();
+        const bool readable = self->owner_->line(self->lines_.substr(0, end));
+        if (self->owner_ == nullptr) return;
+        if (!readable) return self->end();
+        self->lines_.erase(0, end + 1);
+      }
+      if (error || self->parser_.is_done() || self->lines_.size() > kMostLine) return self->end();
+      self->read();
+    });
+  }
+
+  // Guards against an agent or a path that fell silent with its connection open.
+  void heard() {
+    timer_.expires_after(kSilence);
+    timer_.async_wait([self = shared_from_this()](const Error& error) {
+      if (!error) self->end();
+    });
+  }
+
+  void end() {
+    if (owner_ != nullptr) owner_->lost();
+  }
+
+  Watch* owner_;
+  tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  http::request<http::empty_body> request_;
+  boost::beast::flat_buffer buffer_;
+  http::response_parser<http::string_body> parser_;
+  std::string lines_;
+};
+
+Watch::Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, AskTimes asks,
+             Revision revision, Told told, std::function<void()> current)
+    : io_(io),
+      asks_(std::move(asks)),
+      address_(address),
+      names_(std::move(names)),
+      revision_(std::move(revision)),
+      told_(std::move(told)),
+      current_(std::move(current)),
+      pause_(io) {
+  if (const milliseconds pause = asks_.first(); pause.count() > 0) {
+    connect_after(pause);
+  } else {
+    connect();
+  }
+}
+
+Watch::~Watch() {
+  if (stream_) stream_->close();
+}
+
+void Watch::connect() {
+  if (stream_) stream_->close();
+  stream_ = std::make_shared<Stream>(*this);
+  stream_->start(revision_());
+}
+
+void Watch::move(const tcp::endpoint& address) {
+  address_ = address;
+  asks_.heard();
+  pause_.cancel();
+  connect();
+}
+
+void Watch::connect_after(milliseconds pause) {
+  pause_.expires_after(pause);
+  pause_.async_wait([this](const Error& error) {
+    if (!error) connect();
+  });
+}
+
+void Watch::lost() {
+  if (++losses_ == 1) log_event(LogLevel::kWarning, "watch_lost", "discovery: the watch is lost");
+  stream_->close();
+  connect_after(asks_.again());
+}
+
+bool Watch::line(const std::string& text) {
+  asks_.heard();
+  if (losses_ > 0) {
+    log_info("watch_heard", "discovery: heard again after " + std::to_string(losses_) + " watches",
+             {{"watches", losses_}});
+  }
+  losses_ = 0;
+  try {
+    if (text.find_first_not_of(" \r\t") != std::string::npos) {
+      told_(parse_list(nlohmann::json::parse(text), names_));
+    }
+  } catch (const std::exception&) {  // unreadable: from the start, on a new connection
+    return false;
+  }
+  current_();
+  return true;
+}
+
+}  // namespace firspool::relay
