Read discovery's lists by their structure: an indented one broke every watch

Lists may come indented. The watch parsed each line as one object, so that the first line of an indented list ended the watch, and each one after it: the relay stayed with the list that it had. The cause is Watch::line(), which was handed text up to a newline.

A newline between objects is the sign of life; an object counts when it is whole, also with no newline behind it.

--- a/relay/watch.cpp
+++ b/relay/watch.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
+#include "json_stream.h"
 #include "log.h"
 
 namespace firspool::relay {
@@ -14,7 +15,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kSilence{5000};  // an empty line is due every 2 s
-constexpr size_t kMostLine = 8 * 1024 * 1024;
 
 }  // namespace
 
@@ -54,22 +54,24 @@
   void read() {
     http::async_read_some(socket_, buffer_, parser_, [self = shared_from_this()](const Error& error, size_t) {
       if (self->owner_ == nullptr) return;
-      std::string& body = self->parser_.get().body();
-      self->lines_ += body;
-      body.clear();
-      size_t end = 0;
-      while ((end = self->lines_.find('\n')) != std::string::npos) {
-        self->heard();
-        const bool readable = self->owner_->line(self->lines_.substr(0, end));
-        if (self->owner_ == nullptr) return;
-        if (!readable) return self->end();
-        self->lines_.erase(0, end + 1);
-      }
-      if (error || self->parser_.is_done() || self->lines_.size() > kMostLine) return self->end();
+      if (!self->take(self->parser_.get().body()) || error || self->parser_.is_done()) return self->end();
       self->read();
     });
   }
 
+  // False: the stream cannot be read on, or is not the watch's any more.
+  bool take(std::string& body) {
+    std::string_view rest = body;
+    for (auto token = stream_.next(rest); token != JsonStream::Token::kNone; token = stream_.next(rest)) {
+      if (token == JsonStream::Token::kUnreadable) return false;
+      heard();
+      const bool object = token == JsonStream::Token::kObject;
+      if (!owner_->heard(object ? stream_.object() : std::string()) || owner_ == nullptr) return false;
+    }
+    body.clear();
+    return true;
+  }
+
   // Guards against an agent or a path that fell silent with its connection open.
   void heard() {
     timer_.expires_after(kSilence);
@@ -88,7 +90,7 @@
   http::request<http::empty_body> request_;
   boost::beast::flat_buffer buffer_;
   http::response_parser<http::string_body> parser_;
-  std::string lines_;
+  JsonStream stream_;
 };
 
 Watch::Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, AskTimes asks,
@@ -138,7 +140,7 @@
   connect_after(asks_.again());
 }
 
-bool Watch::line(const std::string& text) {
+bool Watch::heard(const std::string& object) {
   asks_.heard();
   if (losses_ > 0) {
     log_info("watch_heard", "discovery: heard again after " + std::to_string(losses_) + " watches",
@@ -146,9 +148,7 @@
   }
   losses_ = 0;
   try {
-    if (text.find_first_not_of(" \r\t") != std::string::npos) {
-      told_(parse_list(nlohmann::json::parse(text), names_));
-    }
+    if (!object.empty()) told_(parse_list(nlohmann::json::parse(object), names_));
   } catch (const std::exception&) {  // unreadable: from the start, on a new connection
     return false;
   }
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -18,7 +18,8 @@
   using Told = std::function<void(const HostList&)>;
   using Revision = std::function<int64_t()>;  // the one that is known
 
-  // `current` is called after each line: what there was to tell has been told.
+  // `current` is called after each object, and each newline between them: what there was to tell has been
+  // told.
   Watch(boost::asio::io_context& io, const tcp::endpoint& address, ListNames names, AskTimes asks,
         Revision revision, Told told, std::function<void()> current);
   ~Watch();
@@ -34,7 +35,7 @@
   void connect();
   void connect_after(std::chrono::milliseconds pause);
   void lost();
-  bool line(const std::string& text);
+  bool heard(const std::string& object);  // empty: a newline between objects
 
   boost::asio::io_context& io_;
   AskTimes asks_;
