Bound the pauses between asks by when news counts as told

A change counts as told 6 s after discovery had it, also after a failed or refused ask.

How many asks a second discovery then answers was not measured.

--- a/relay/ask_times.cpp
+++ b/relay/ask_times.cpp
@@ -7,22 +7,18 @@
 
 using std::chrono::milliseconds;
 
-constexpr milliseconds kFirstPause{50};
-constexpr milliseconds kLongestPause{2000};
-constexpr int kTogether = 10;         // so few relays may ask at one moment
-constexpr milliseconds kAskEach{50};  // and so much time is left for each ask of more
+constexpr milliseconds kFirstPause{50};  // of few relays; doubled each time
+constexpr int kTogether = 10;            // so few relays may ask at one moment
+constexpr milliseconds kAskEach{50};     // and so much time is left for each ask of more, as far as it goes
 
 }  // namespace
 
-AskTimes::AskTimes(const Settings& settings, uint64_t seed) : random_(seed), longest_(kLongestPause) {
-  if (settings.relays > kTogether) {
-    const milliseconds wide = std::min(settings.relays * kAskEach, milliseconds(settings.ask_every / 2000));
-    // News that is pushed counts as told from when the agent has it: who asks late sends to a draining host.
-    turn_ = settings.ask_for_list ? wide : std::min(wide, milliseconds(settings.drain_grace / 2000));
-    longest_ = std::max(longest_, 2 * wide);
-  }
-  shortest_ = std::max(kFirstPause, turn_ / 2);
-  back_off_ = shortest_;
+AskTimes::AskTimes(const Settings& settings, uint64_t seed) : random_(seed), pushed_(kLongestPause) {
+  const milliseconds grace(settings.drain_grace / 1000);
+  if (!settings.ask_for_list && grace.count() > 0) pushed_ = std::clamp(grace / 4, kFirstPause, pushed_);
+  if (settings.relays <= kTogether) return;
+  turn_ = std::min({settings.relays * kAskEach, milliseconds(settings.ask_every / 2000), kFirstTurn});
+  if (!settings.ask_for_list) turn_ = std::min(turn_, grace / 2);
 }
 
 milliseconds AskTimes::first() {
@@ -31,10 +27,15 @@
 
 // At random, so that relays which lost their watches together do not come back together.
 milliseconds AskTimes::again() {
-  const milliseconds pause(std::uniform_int_distribution<int64_t>(
-      back_off_.count() / 2, back_off_.count() + back_off_.count() / 2)(random_));
-  back_off_ = std::min(2 * back_off_, longest_);
-  return pause;
+  ++failed_;
+  const milliseconds most = most_pause();
+  return milliseconds(std::uniform_int_distribution<int64_t>(most.count() / 4, most.count())(random_));
+}
+
+milliseconds AskTimes::most_pause() const {
+  const milliseconds bound = std::min(pushed_, failed_ <= 2 ? kLostPause : kLongestPause);
+  if (turn_.count() > 0) return std::min(bound, std::max(turn_, kFirstPause));
+  return std::min(bound, kFirstPause * (1 << std::min(failed_ - 1, 6)));
 }
 
 }  // namespace firspool::relay
