Give the watch one timer and one state, and bound each part of an ask

Seen in tests against the watch as it was: no answer, half an answer or an object that never ended took 5 s to notice (kSilence), which with a pause and the next ask is past the 6 s; a timer's end that was queued before the timer was armed anew still acted, in heard() and in move(): it ended a live watch, and opened a second ask after a SIGHUP.

The watch owns the only timer, for its state: pause, ask, accepted, follow. A queued end of an earlier state is known by its number; one that is due lets what came in time be read first. An ask has 0.8 s in all, a watch 2.75 s between whole objects or newlines (due every 2 s); the sum, 5.85 s with one failed ask, is in watch.h. A list that cannot be read does not shorten the pauses. The socket has TCP_NODELAY from its opening on.

--- a/relay/watch.cpp
+++ b/relay/watch.cpp
@@ -14,22 +14,22 @@
 using Error = boost::system::error_code;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kSilence{5000};  // an empty line is due every 2 s
-
 }  // namespace
 
 // One connection with one endless answer.
 class Watch::Stream : public std::enable_shared_from_this<Stream> {
  public:
-  explicit Stream(Watch& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {}
+  explicit Stream(Watch& owner) : owner_(&owner), socket_(owner.io_) {}
 
   void start(int64_t revision) {
-    heard();
     request_.version(11);
     request_.method(http::verb::get);
     request_.target("/api/targets?stream=1&index=" + std::to_string(revision));
     request_.set(http::field::host, owner_->address_.address().to_string());
     parser_.body_limit(boost::none);
+    Error ignored;
+    socket_.open(owner_->address_.protocol(), ignored);
+    socket_.set_option(tcp::no_delay(true), ignored);
     socket_.async_connect(owner_->address_, [self = shared_from_this()](const Error& error) {
       if (error) return self->end();
       http::async_write(self->socket_, self->request_, [self](const Error& failed, size_t) {
@@ -37,6 +37,7 @@
         http::async_read_header(self->socket_, self->buffer_, self->parser_,
                                 [self](const Error& none, size_t) {
                                   if (none || self->parser_.get().result_int() != 200) return self->end();
+                                  if (self->owner_ != nullptr) self->owner_->accepted();
                                   self->read();
                                 });
       });
@@ -47,7 +48,6 @@
     owner_ = nullptr;
     Error ignored;
     socket_.close(ignored);
-    timer_.cancel();
   }
 
  private:
@@ -64,7 +64,6 @@
     std::string_view rest = body;
     for (auto token = stream_.next(rest); token != JsonStream::Token::kNone; token = stream_.next(rest)) {
       if (token == JsonStream::Token::kUnreadable) return false;
-      heard();
       const bool object = token == JsonStream::Token::kObject;
       if (!owner_->heard(object ? stream_.object() : std::string()) || owner_ == nullptr) return false;
     }
@@ -72,21 +71,12 @@
     return true;
   }
 
-  // Guards against an agent or a path that fell silent with its connection open.
-  void heard() {
-    timer_.expires_after(kSilence);
-    timer_.async_wait([self = shared_from_this()](const Error& error) {
-      if (!error) self->end();
-    });
-  }
-
   void end() {
     if (owner_ != nullptr) owner_->lost();
   }
 
   Watch* owner_;
   tcp::socket socket_;
-  boost::asio::steady_timer timer_;
   http::request<http::empty_body> request_;
   boost::beast::flat_buffer buffer_;
   http::response_parser<http::string_body> parser_;
@@ -102,56 +92,80 @@
       revision_(std::move(revision)),
       told_(std::move(told)),
       current_(std::move(current)),
-      pause_(io) {
-  if (const milliseconds pause = asks_.first(); pause.count() > 0) {
-    connect_after(pause);
-  } else {
-    connect();
-  }
+      timer_(io) {
+  pause(asks_.first());
 }
 
 Watch::~Watch() {
   if (stream_) stream_->close();
 }
 
-void Watch::connect() {
+void Watch::enter(State state, milliseconds limit) {
+  state_ = state;
+  ++entry_;
+  arm(limit, false);
+}
+
+// What came in time may be queued behind the timer's end, where the loop was busy: it is read first.
+void Watch::arm(milliseconds limit, bool again) {
+  timer_.expires_after(limit);
+  timer_.async_wait([this, entry = entry_, again](const Error& error) {
+    if (error || entry != entry_) return;  // its end was queued already when another state began
+    if (state_ == State::kPause) return ask();
+    if (!again) return arm(milliseconds(0), true);
+    if (state_ == State::kAccepted) late_first_ = true;
+    lost();
+  });
+}
+
+void Watch::pause(milliseconds length) {
+  if (length.count() == 0) return ask();
+  enter(State::kPause, length);
+}
+
+void Watch::ask() {
   if (stream_) stream_->close();
+  enter(State::kAsk, kAnswer);
+  asked_ = std::chrono::steady_clock::now();
   stream_ = std::make_shared<Stream>(*this);
   stream_->start(revision_());
 }
 
+void Watch::accepted() {
+  if (late_first_) return enter(State::kAccepted, kSilence);
+  state_ = State::kAccepted;  // within what is left of the time for its answer
+}
+
 void Watch::move(const tcp::endpoint& address) {
   address_ = address;
   asks_.heard();
-  pause_.cancel();
-  connect();
-}
-
-void Watch::connect_after(milliseconds pause) {
-  pause_.expires_after(pause);
-  pause_.async_wait([this](const Error& error) {
-    if (!error) connect();
-  });
+  ask();
 }
 
 void Watch::lost() {
   if (++losses_ == 1) log_event(LogLevel::kWarning, "watch_lost", "discovery: the watch is lost");
   stream_->close();
-  connect_after(asks_.again());
+  pause(asks_.again());
 }
 
 bool Watch::heard(const std::string& object) {
+  if (state_ != State::kFollow) late_first_ = std::chrono::steady_clock::now() - asked_ > kAnswer;
+  enter(State::kFollow, kSilence);
+  try {
+    if (!object.empty()) {
+      told_(parse_list(nlohmann::json::parse(object), names_));
+    }
+  } catch (const std::exception& fault) {
+    log_event(LogLevel::kWarning, "list_unreadable",
+              std::string("discovery: a list cannot be read: ") + fault.what());
+    return false;
+  }
   asks_.heard();
   if (losses_ > 0) {
     log_info("watch_heard", "discovery: heard again after " + std::to_string(losses_) + " watches",
              {{"watches", losses_}});
   }
   losses_ = 0;
-  try {
-    if (!object.empty()) told_(parse_list(nlohmann::json::parse(object), names_));
-  } catch (const std::exception&) {  // unreadable: from the start, on a new connection
-    return false;
-  }
   current_();
   return true;
 }
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -12,7 +12,15 @@
 
 namespace firspool::relay {
 
-// Follows the watch for as long as it lives: a connection that ends or falls silent is opened again.
+// Follows the watch for as long as it lives: a connection that ends or falls silent is opened again. The loop
+// runs no more once it is destroyed.
+//
+// What a silent watch misses counts as told 6 s after it fell silent, and so does any change 6 s after
+// discovery had it, whatever became of an ask in between. A newline is due every 2 s. At worst, with one ask
+// that is refused, hangs or breaks:
+//   kSilence 2.75 s + pause 0.75 s + kAnswer 0.8 s + pause 0.75 s + kAnswer 0.8 s = 5.85 s.
+// kAnswer runs from before the connect to the first whole object: discovery answers at once. One that
+// accepts but says nothing before its first newline is given kSilence for it at the next ask.
 class Watch {
  public:
   using Told = std::function<void(const HostList&)>;
@@ -32,8 +40,22 @@
  private:
   class Stream;
 
-  void connect();
-  void connect_after(std::chrono::milliseconds pause);
+  static constexpr std::chrono::milliseconds kSilence{2750};
+  static constexpr std::chrono::milliseconds kAnswer{800};
+
+  // What the one timer limits. Its end begins the next ask after a pause, and else ends the connection.
+  enum class State {
+    kPause,     // no connection
+    kAsk,       // until the answer's head
+    kAccepted,  // until its first object or newline
+    kFollow,    // until the next one
+  };
+
+  void enter(State state, std::chrono::milliseconds limit);  // ends the state that it was in
+  void arm(std::chrono::milliseconds limit, bool again);
+  void pause(std::chrono::milliseconds length);
+  void ask();
+  void accepted();
   void lost();
   bool heard(const std::string& object);  // empty: a newline between objects
 
@@ -44,8 +66,12 @@
   Revision revision_;
   Told told_;
   std::function<void()> current_;
-  boost::asio::steady_timer pause_;
-  int losses_ = 0;  // watches that were lost since a line was heard
+  State state_ = State::kPause;
+  boost::asio::steady_timer timer_;
+  uint64_t entry_ = 0;  // counts the states entered
+  std::chrono::steady_clock::time_point asked_;
+  bool late_first_ = false;  // the last answer began with nothing for longer than kAnswer
+  int losses_ = 0;           // watches that were lost since a line was heard
   std::shared_ptr<Stream> stream_;
 };
 
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -106,5 +106,77 @@
   EXPECT_TRUE(told(1));
 }
 
+// Discovery answers at once: one that does not is asked again well inside the 6 s after which news counts as
+// told.
+TEST_F(WatchTest, AsksAnewSoonWhereNoAnswerComes) {
+  for (const std::string& answer : {std::string(), std::string(kHead), kHead + chunk("{\"revision\":2,")}) {
+    watch_.reset();
+    io_.restart();
+    open();
+    Socket agent = asked();
+    const auto began = steady_clock::now();
+    agent.send(answer);
+    ASSERT_TRUE(connects(listener_)) << answer;
+    EXPECT_LT(steady_clock::now() - began, 2s) << answer;
+    asked();
+  }
+}
+
+// Bytes that never become a whole object are no sign of life.
+TEST_F(WatchTest, AnObjectThatNeverEndsIsSilence) {
+  open();
+  Socket agent = asked();
+  agent.send(kHead + chunk(list_json(2, true, {}).dump() + "\n{"));
+  ASSERT_TRUE(told(1));
+  const auto began = steady_clock::now();
+  pollfd_ = {listener_.fd(), POLLIN, 0};
+  while (::poll(&pollfd_, 1, 0) == 0 && steady_clock::now() - began < 10s) {
+    agent.send(chunk(" "));
+    io_.run_one_for(5ms);
+  }
+  EXPECT_LT(steady_clock::now() - began, 4s);
+}
+
+// The silence's timer and the bytes that end the silence are ready in the same moment.
+TEST_F(WatchTest, BytesThatCameInTimeKeepTheWatch) {
+  open();
+  Socket agent = asked();
+  agent.send(kHead + chunk(list_json(2, true, {}).dump()));
+  ASSERT_TRUE(told(1));
+  agent.send(chunk("\n"));
+  std::this_thread::sleep_for(5200ms);  // longer than any silence that is borne, while the loop is busy
+  io_.poll();
+  agent.send(chunk(list_json(3, false, {}).dump()));
+  EXPECT_TRUE(told(2));
+  pollfd_ = {listener_.fd(), POLLIN, 0};
+  EXPECT_EQ(::poll(&pollfd_, 1, 0), 0);
+}
+
+// SIGHUP comes in the moment in which a pause is over: the pause's end is queued behind it.
+TEST_F(WatchTest, AMoveAsksOnceWhereAPauseWasJustOver) {
+  Socket before;
+  open();
+  before = asked();
+  before.close();
+  io_.poll();  // the pause begins
+  Socket ours = Socket::connect(listener_.port());
+  Socket theirs = listener_.accept();
+  boost::asio::ip::tcp::socket ready(io_, tcp::v4(), ::dup(theirs.fd()));
+  const Socket next = Socket::listen();
+  ready.async_wait(tcp::socket::wait_read, [&](const boost::system::error_code&) { watch_->move(at(next)); });
+  io_.poll();
+  ours.send("x");
+  std::this_thread::sleep_for(100ms);  // the first pause is shorter
+  io_.poll();
+  std::string first;
+  Socket agent = asked(next, &first);
+  EXPECT_EQ(first, "GET /api/targets?stream=1&index=0 HTTP/1.1");
+  watch_->move(at(next));  // once more, with the ask out: only the last one lives
+  EXPECT_TRUE(agent.ended());
+  agent = asked(next);
+  agent.send(kHead + chunk(list_json(2, true, {}).dump()));
+  EXPECT_TRUE(told(1));
+}
+
 }  // namespace
 }  // namespace firspool::relay
