Post notices again within the 300 ms that they have, and none holds up others

A post had 1 s for its answer and pauses of up to 2 s lay between posts, where a notice is overdue 300 ms after its message's time is up. One that discovery cannot read (400) was sent again for ever, with all behind it.

An answer has 120 ms, a pause 10 ms; while posts go on failing up to 1 s and 100 ms (PostTimes). Of a batch answered 400 half is sent; one alone that cannot be read is over, with a line in the log. One timer and one state as in the watch; TCP_NODELAY is set on the socket from its opening on.

--- a/relay/notices.cpp
+++ b/relay/notices.cpp
@@ -5,6 +5,8 @@
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
+#include "log.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -12,19 +14,25 @@
 using Error = boost::system::error_code;
 using std::chrono::milliseconds;
 
-constexpr milliseconds kFirstPause{50};
-constexpr milliseconds kLongestPause{2000};
-constexpr milliseconds kPostTimeout{1000};
-constexpr size_t kMostNotices = 200;  // in one request: well under the largest body
-
-milliseconds longer(milliseconds pause) { return std::min(2 * pause, kLongestPause); }
+constexpr milliseconds kFirstPause{10};
+constexpr milliseconds kLongestPause{100};
+constexpr milliseconds kFirstAnswer{120};
+constexpr milliseconds kLongestAnswer{1000};
 
 }  // namespace
 
+milliseconds PostTimes::answer() const {
+  return std::min(kFirstAnswer * (1 << std::min(failed_, 4)), kLongestAnswer);
+}
+
+milliseconds PostTimes::pause() {
+  return std::min(kFirstPause * (1 << std::min(failed_++, 4)), kLongestPause);
+}
+
 // A kept-alive connection for notices, one request at a time.
 class Notices::Post : public std::enable_shared_from_this<Post> {
  public:
-  explicit Post(Notices& owner) : owner_(&owner), socket_(owner.io_), timer_(owner.io_) {}
+  explicit Post(Notices& owner) : owner_(&owner), socket_(owner.io_) {}
 
   void send(const std::string& body) {
     request_ = {};
@@ -35,15 +43,12 @@
     request_.set(http::field::content_type, "application/x-ndjson");
     request_.body() = body;
     request_.prepare_payload();
-    timer_.expires_after(kPostTimeout);
-    timer_.async_wait([self = shared_from_this()](const Error& error) {
-      if (!error) self->end(false);
-    });
     if (socket_.is_open()) return write();
+    Error ignored;
+    socket_.open(owner_->address_.protocol(), ignored);
+    socket_.set_option(tcp::no_delay(true), ignored);
     socket_.async_connect(owner_->address_, [self = shared_from_this()](const Error& error) {
-      if (error) return self->end(false);
-      Error ignored;
-      self->socket_.set_option(tcp::no_delay(true), ignored);
+      if (error) return self->end(Answer::kNone);
       self->write();
     });
   }
@@ -54,30 +59,31 @@
     owner_ = nullptr;
     Error ignored;
     socket_.close(ignored);
-    timer_.cancel();
   }
 
  private:
   void write() {
     http::async_write(socket_, request_, [self = shared_from_this()](const Error& error, size_t) {
-      if (error) return self->end(false);
+      if (error) return self->end(Answer::kNone);
       self->answer_ = {};
       http::async_read(self->socket_, self->buffer_, self->answer_, [self](const Error& failed, size_t) {
         self->reusable_ = !failed && self->answer_.keep_alive();
-        self->end(!failed && self->answer_.result_int() == 204);
+        self->end(failed ? Answer::kNone : answer_of(self->answer_.result_int()));
       });
     });
   }
 
-  void end(bool taken) {
-    timer_.cancel();
-    reusable_ = reusable_ && taken;
-    if (owner_ != nullptr) owner_->ended(taken);
+  static Answer answer_of(unsigned status) {
+    return status == 204 ? Answer::kTaken : status == 400 ? Answer::kUnreadable : Answer::kNone;
+  }
+
+  void end(Answer answer) {
+    reusable_ = reusable_ && answer != Answer::kNone;
+    if (owner_ != nullptr) owner_->ended(answer);
   }
 
   Notices* owner_;
   tcp::socket socket_;
-  boost::asio::steady_timer timer_;
   http::request<http::string_body> request_;
   boost::beast::flat_buffer buffer_;
   http::response<http::string_body> answer_;
@@ -85,7 +91,7 @@
 };
 
 Notices::Notices(boost::asio::io_context& io, const tcp::endpoint& address, Sent sent)
-    : io_(io), address_(address), sent_(std::move(sent)), pause_(io), back_off_(kFirstPause) {}
+    : io_(io), address_(address), sent_(std::move(sent)), timer_(io) {}
 
 Notices::~Notices() {
   if (post_) post_->close();
@@ -93,52 +99,79 @@
 
 void Notices::add(Notice notice) {
   queue_.push_back({std::move(notice), steady_now()});
-  if (queue_.size() == 1) proceed();
+  if (state_ == State::kIdle) proceed();
+}
+
+void Notices::enter(State state, milliseconds limit) {
+  state_ = state;
+  ++entry_;
+  arm(limit, false);
+}
+
+// What came in time may be queued behind the timer's end, where the loop was busy: it is read first.
+void Notices::arm(milliseconds limit, bool again) {
+  timer_.expires_after(limit);
+  timer_.async_wait([this, entry = entry_, again](const Error& error) {
+    if (error || entry != entry_) return;  // its end was queued already when another state began
+    if (state_ == State::kPause) return proceed();
+    if (!again) return arm(milliseconds(0), true);
+    drop();
+    ended(Answer::kNone);
+  });
+}
+
+void Notices::drop() {
+  if (post_) post_->close();
+  post_.reset();
 }
 
 // What is out to the old address goes again to the new one: a second notice does no harm.
 void Notices::move(const tcp::endpoint& address) {
   address_ = address;
-  back_off_ = kFirstPause;
-  if (post_) post_->close();
-  post_.reset();
-  pause_.cancel();
-  out_ = 0;
+  times_.answered();
+  drop();
   proceed();
 }
 
 void Notices::proceed() {
-  if (out_ > 0 || queue_.empty()) return;
+  timer_.cancel();
+  ++entry_;
+  state_ = State::kIdle;
+  out_ = 0;
+  if (queue_.empty()) return;
   std::string body;
-  for (; out_ < std::min(queue_.size(), kMostNotices); ++out_) {
+  for (; out_ < std::min(queue_.size(), most_); ++out_) {
     const Notice& notice = queue_[out_].notice;
     nlohmann::json line = {{"id", notice.id}, {"state", notice.returned ? "returned" : "failed"}};
     if (notice.returned && notice.after > 0) line["after_ms"] = (notice.after + 999) / 1000;
     body += line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
   }
   if (!post_) post_ = std::make_shared<Post>(*this);
+  enter(State::kOut, times_.answer());
   post_->send(body);
 }
 
-void Notices::ended(bool taken) {
-  if (!post_->reusable()) {
-    post_->close();
-    post_.reset();
-  }
-  if (taken) {
-    for (; out_ > 0; --out_) {
-      sent_(queue_.front().notice.id);
-      queue_.pop_front();
-    }
-    back_off_ = kFirstPause;
-    return proceed();
+void Notices::ended(Answer answer) {
+  if (post_ && !post_->reusable()) drop();
+  if (answer == Answer::kNone) return enter(State::kPause, times_.pause());
+  times_.answered();
+  if (answer == Answer::kTaken) {
+    for (; out_ > 0; --out_) settle();
+    most_ = std::min(2 * most_, kMostNotices);
+  } else if (out_ > 1) {
+    most_ = out_ / 2;
+  } else {  // the same bytes would not be read later either, and hold up all others
+    log_event(LogLevel::kWarning, "notice_unreadable",
+              "discovery: it cannot read the notice of " + queue_.front().notice.id,
+              {{"id", queue_.front().notice.id}});
+    settle();
   }
-  out_ = 0;
-  pause_.expires_after(back_off_);
-  back_off_ = longer(back_off_);
-  pause_.async_wait([this](const Error& error) {
-    if (!error) proceed();
-  });
+  proceed();
+}
+
+void Notices::settle() {
+  sent_(queue_.front().notice.id);
+  queue_.pop_front();
 }
 
 }  // namespace firspool::relay
--- a/relay/notices.h
+++ b/relay/notices.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -13,7 +14,21 @@
 
 namespace firspool::relay {
 
-// Sends notices, each again until it is answered with 204.
+// A notice is overdue 300 ms after its message's time is up, and 204 is given at once: an answer that does
+// not come within 120 ms is given up, and the next post follows 10 ms later on a new connection. While posts
+// go on failing, up to 1 s is left for an answer, and up to 100 ms lie between them.
+class PostTimes {
+ public:
+  std::chrono::milliseconds answer() const;  // for the next post's answer, its connect included
+  std::chrono::milliseconds pause();         // one failed: until the next
+  void answered() { failed_ = 0; }
+
+ private:
+  int failed_ = 0;  // in a row
+};
+
+// Sends notices, each again until it is answered with 204. Of those answered with 400 each half is sent
+// alone; one alone that cannot be read is over. The loop runs no more once it is destroyed.
 class Notices {
  public:
   using Sent = std::function<void(const std::string& id)>;
@@ -30,20 +45,37 @@
  private:
   class Post;
 
+  static constexpr size_t kMostNotices = 200;  // in one request: well under the largest body
+
+  // What the one timer limits.
+  enum class State {
+    kIdle,   // nothing is owed
+    kOut,    // until the answer
+    kPause,  // until the next post
+  };
+  enum class Answer { kTaken, kUnreadable, kNone };
+
+  void enter(State state, std::chrono::milliseconds limit);  // ends the state that it was in
+  void arm(std::chrono::milliseconds limit, bool again);
   void proceed();
-  void ended(bool taken);
+  void drop();  // the connection
+  void ended(Answer answer);
+  void settle();  // the first in the queue
 
   boost::asio::io_context& io_;
   tcp::endpoint address_;
   Sent sent_;
-  boost::asio::steady_timer pause_;
-  std::chrono::milliseconds back_off_;
+  PostTimes times_;
+  State state_ = State::kIdle;
+  boost::asio::steady_timer timer_;
+  uint64_t entry_ = 0;  // counts the states entered
   struct Owed {
     Notice notice;
     Time since = 0;
   };
   std::deque<Owed> queue_;
-  size_t out_ = 0;  // notices at the front that are out
+  size_t most_ = kMostNotices;  // in the next post
+  size_t out_ = 0;              // notices at the front that are out
   std::shared_ptr<Post> post_;
 };
 
