Simplify outages, scopes, reports and queues of the module, with the same decisions

What was said twice is said once: a keyed message's scope, a share of a limit that a report tells, the proof of an outage, a queue's first look.

--- a/src/limits.h
+++ b/src/limits.h
@@ -53,9 +53,9 @@
     l.room += 2 * kGain * ((e.outcome == Outcome::kOk ? served : 0) - l.room);
   }
 
-  // Whether the report tells that others have used the limit up.
-  bool used_up(const std::vector<float>& report) const {
-    return reported(report, s_.set.report_limit, 0) > 0 && reported(report, s_.set.report_left, 1) < kUsedUp;
+  // Share of the limit that is left, as reported; below 0: no limit is told.
+  double left(const std::vector<float>& report) const {
+    return reported(report, s_.set.report_limit, 0) > 0 ? reported(report, s_.set.report_left, 1) : -1;
   }
 
   // Refused above a limit that all relays share: slower than the own demand, and again with each in a row.
@@ -112,8 +112,7 @@
   // Where probes are allowed one goes ahead of each scout; not trusted alone, as it may pass a hang by.
   bool may_scout(const Host& host) {
     Lane& l = *host.lane;
-    if (!l.out() || !s_.set.may_probe) return true;
-    if (std::exchange(l.probe_ok, false)) return true;
+    if (!l.out() || !s_.set.may_probe || std::exchange(l.probe_ok, false)) return true;
     if (std::exchange(l.probe_out, true)) return false;
     s_.tell(Probe{host.member.endpoint});
     charge(l);
@@ -148,8 +147,8 @@
   }
 
   static double reported(const std::vector<float>& report, int index, double otherwise) {
-    if (index < 0 || static_cast<size_t>(index) >= report.size()) return otherwise;
-    const double value = report[static_cast<size_t>(index)];
+    const auto at = static_cast<size_t>(index);  // no report is so long that it holds -1
+    const double value = at < report.size() ? report[at] : -1;
     return std::isfinite(value) && value >= 0 ? value : otherwise;
   }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -70,8 +70,7 @@
   bool refusable(const Message& m) const {
     const ClassSettings& c = *m.rules;
     if (c.effect == Effect::kSafe || !m.ran) return true;
-    if (m.resumed_ran) return false;  // its outcome is lost: a client's retry might outlast the key
-    return c.effect == Effect::kKeyed && c.key_scope == KeyScope::kAll;
+    return !m.resumed_ran && c.effect == Effect::kKeyed && c.key_scope == KeyScope::kAll;
   }
 
   bool may_repeat(const Message& m) const {
@@ -125,11 +124,9 @@
 
   // A keyed message that may have run stays with the endpoints that remember its key.
   bool in_scope(const Message& m, const Member& member) const {
-    const ClassSettings& c = *m.rules;
     if (!way(m, member).allowed) return false;
-    if (!m.ran || c.effect != Effect::kKeyed) return true;
-    if (c.key_scope == KeyScope::kCell) return member.destination == m.destination;
-    return c.key_scope == KeyScope::kAll || member.zone == m.ran_zone;
+    const bool zoned = m.rules->effect == Effect::kKeyed && m.rules->key_scope == KeyScope::kZone;
+    return !m.ran || !zoned || member.zone == m.ran_zone;
   }
 
   // From then on too little is left for the usual answer, or the destination may have forgotten the key.
--- a/src/outages.h
+++ b/src/outages.h
@@ -104,9 +104,8 @@
     }
     const bool dead = l.hard >= kDeadStreak && s_.now - l.hard_since >= kDeadSpan;
     const bool shut = l.streak >= kShutStreak && l.streak_since <= s_.now - kShutSpan;
-    const bool proved = dead || shut;
     const char* evidence = dead ? "calls fail" : shut ? "all refused" : "calls overdue";
-    if (proved || overdue >= kOverdue) go_out(l, evidence, !proved);
+    if (dead || shut || overdue >= kOverdue) go_out(l, evidence, !dead && !shut);
     return l.streak != 0 || overdue != 0;
   }
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -81,9 +81,10 @@
       if (e.wait > 0) limits_.wait(s_.now + e.wait, l);
       if (e.wait > 0 && l.steered) l.pacer = limits_.late_start(l.wait_until);
       if (e.wait == 0) limits_.narrow(attempt, l);
+      const double left = limits_.left(e.report);
       outages_.unserved(attempt, l, false, e.wait);
       // A rare caller is refused for long by a limit that others use up: that is no outage.
-      if (limits_.used_up(e.report)) l.streak_since = kNever;
+      if (left >= 0 && left < kUsedUp) l.streak_since = kNever;
     } else if (ok) {
       d.tokens = std::min(kBucketCap, d.tokens + 1);
       host.latency.add(seconds(e.took));
--- a/src/refusals.h
+++ b/src/refusals.h
@@ -75,9 +75,8 @@
       const Message& m = s_.messages.at(std::get<uint64_t>(c));
       if (m.out) continue;
       const Destination& d = s_.destinations.at(m.destination);
-      const auto [it, first] = queues.try_emplace(m.destination);
-      Queue& queue = it->second;
-      if (first) queue = {kDrainDoubt * drain_rate(d), s_.part_of(d).owed()};
+      const Queue fresh{kDrainDoubt * drain_rate(d), s_.part_of(d).owed()};
+      Queue& queue = queues.try_emplace(m.destination, fresh).first->second;
       const int number = messages_.best_way(m, d).limit;
       const Part& part = s_.limit(number);  // -1: never granted, and so no queue
       Queue& limit = limits.try_emplace(number, Queue{kDrainDoubt * part.per_s, part.owed()}).first->second;
@@ -97,8 +96,7 @@
     messages_.end(m);
   }
 
-  // When a client should come again: once what waits for its destination should be served and a told wait is
-  // over, at random, to keep clients out of step. Not told where none hears it, or its time would be over.
+  // Once what waits should be served and a told wait is over, at random; 0: not heard, or its time were over.
   Time come_again(const Message& m, Reason reason, Time wait) {
     const auto found = s_.destinations.find(m.destination);
     if (!s_.set.retry_after_heard || found == s_.destinations.end() || wait == kNever) return 0;
--- a/src/state.h
+++ b/src/state.h
@@ -52,7 +52,7 @@
   double worth = 0;
   bool out = false, withdrawn = false;
   bool repeat = false;       // the next send pays a token
-  bool resumed_ran = false;  // it may have run before a restart
+  bool resumed_ran = false;  // before a restart, by a lost outcome: a client's retry might outlast its key
   Time not_before = 0;
 };
 
@@ -129,8 +129,7 @@
 struct State {
   State(const Settings& settings, uint64_t seed) : random(seed) { retune(settings); }
 
-  // Numbers of tenants and kinds are positions: where those shift, what is kept by number starts anew. The
-  // caller tells the list again after this, so hosts get their kinds by name.
+  // Where the numbers of tenants or kinds shift, what is kept by them starts anew; the list is told again.
   void retune(const Settings& next) {
     if (next.classes.empty()) throw std::invalid_argument("settings hold no class");
     const auto same = [](const auto& a, const auto& b) { return a.name == b.name; };
