--- a/tests/peers.cpp
+++ b/tests/peers.cpp
@@ -268,7 +268,7 @@
 
 void Program::replace(const std::string& text) { std::ofstream(folder_ / "config.json") << text; }
 
-void Program::start(int descriptors) {
+void Program::launch(int descriptors) {
   configure(config_);
   int pipe[2];
   ASSERT_EQ(::pipe2(pipe, O_CLOEXEC), 0);
@@ -293,6 +293,9 @@
   }
   ::close(pipe[1]);
   log_ = Socket(pipe[0]);
+}
+
+void Program::await_listening() {
   std::string line = log_.line();
   while (!line.empty() && !line.starts_with("listening on ")) line = log_.line();  // what came before
   ASSERT_TRUE(line.starts_with("listening on ")) << line;
@@ -311,7 +314,7 @@
   int status = 0;
   ::waitpid(child_, &status, 0);
   child_ = -1;
-  drain_.join();
+  if (drain_.joinable()) drain_.join();
   return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -123,7 +123,12 @@
   explicit Program(nlohmann::json config);
   ~Program();
 
-  void start(int descriptors = 0);
+  void start(int descriptors = 0) {
+    launch(descriptors);
+    await_listening();
+  }
+  void launch(int descriptors = 0);
+  void await_listening();
   // Starts a further process on the same folder and the same inherited socket.
   void inherit(const Socket& listener) { inherited_ = listener.fd(); }
   void share(const Program& other);
--- /dev/null
+++ b/tests/program_crossing_test.cpp
@@ -0,0 +1,117 @@
+// Crossings inside one process: bytes that come between two of its steps.
+#include <sys/ioctl.h>
+
+#include <chrono>
+#include <csignal>
+#include <fstream>
+#include <set>
+
+#include "../relay/journal.h"
+#include "program_stage.h"
+
+namespace firspool::testing {
+namespace {
+
+constexpr const char* kId = "00000000000000a1";
+
+int waiting_bytes(const Socket& socket) {
+  int count = 0;
+  ::ioctl(socket.fd(), FIONREAD, &count);
+  return count;
+}
+
+// Its client has the answer before the host has a byte, also where many come at once.
+TEST(ProgramCrossing, AMessageIsTakenOnBeforeItIsSent) {
+  Stage s;
+  const Socket host = Socket::listen();
+  const std::string address = "127.0.0.1:" + std::to_string(host.port());
+  s.config["known"] = list_json(1, true, {member_json("s-1", address, 7)});
+  s.program.configure(s.config);
+  s.program.start();
+  std::vector<Socket> clients;
+  for (int i = 0; i < 6; ++i) clients.push_back(s.program.client());
+  s.program.signal(SIGSTOP);
+  for (size_t i = 0; i < clients.size(); ++i) {
+    std::string bytes;
+    for (const std::string part : {"a", "b"}) bytes += put_bytes(std::to_string(i) + part, facts("unsafe"));
+    clients[i].send(bytes);
+  }
+  s.program.signal(SIGCONT);
+  std::set<std::string> called;
+  std::vector<Socket> calls;
+  while (called.size() < 2 * clients.size()) {
+    Socket call = host.accept();
+    const auto request = read_request(call);
+    ASSERT_TRUE(request);
+    const std::string id = id_of(*request);
+    EXPECT_GE(waiting_bytes(clients[std::stoul(id)]), id[1] == 'a' ? 5 : 10) << id;
+    called.insert(id);
+    call.send("HTTP/1.1 200 x\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+    calls.push_back(std::move(call));
+  }
+}
+
+// It gets no part of a core until the time of both is over: no call begins, and both have their notice.
+TEST(ProgramCrossing, TimeThatEndsWhileItStandsStillIsOver) {
+  Stage s;
+  s.program.start();
+  const auto over = std::chrono::steady_clock::now() + std::chrono::milliseconds(1500);
+  EXPECT_EQ(s.put(kId, facts("unsafe", 99, 1400)), "+OK");
+  EXPECT_EQ(s.put("00000000000000a2", facts("unsafe", 7, 1400)), "+OK");
+  s.host.next();
+  s.program.signal(SIGSTOP);
+  s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
+  std::this_thread::sleep_until(over);
+  s.program.signal(SIGCONT);
+  std::map<std::string, std::string> ended;
+  for (int i = 0; i < 2; ++i) {
+    const nlohmann::json notice = s.discovery.notice();
+    ended[notice.at("id")] = notice.at("state");
+  }
+  EXPECT_EQ(ended, (std::map<std::string, std::string>{{kId, "returned"}, {"00000000000000a2", "failed"}}));
+  EXPECT_EQ(s.put("00000000000000a3", facts("unsafe", 99)), "+OK");
+  s.host.drop();
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a3");
+}
+
+// A journal as full as it may be, and discovery down.
+TEST(ProgramCrossing, AFullJournalIsReadInTime) {
+  Stage s;
+  s.discovery.mute();
+  s.config["settings"]["bounds"]["open_cap"] = 20'000;
+  Program program(s.config);
+  MessageRules rules;
+  rules.name = "safe";
+  rules.effect = Effect::kSafe;
+  rules.max_attempts = 6;
+  rules.give_up = 60'000'000;
+  size_t held = 0;
+  {
+    relay::Journal journal(std::move(*relay::Place::take(program.state(), 0)), 1'400'000);
+    relay::Handed message{"",
+                          "safe",
+                          "",
+                          99,
+                          relay::Budget::until(relay::steady_now() + 60'000'000),
+                          "body",
+                          "",
+                          std::make_shared<const MessageRules>(rules)};
+    for (message.id = "0"; journal.accepted(message); message.id = std::to_string(held)) {
+      EXPECT_TRUE(journal.attempt(message.id, 0, 0));
+      ++held;
+    }
+  }
+  ASSERT_GT(held, 1000u);
+  const auto begun = std::chrono::steady_clock::now();
+  program.start();
+  Socket client = program.client();
+  client.send("*1\r\n$4\r\nPING\r\n");
+  EXPECT_EQ(client.line(), "+PONG");
+  const auto took = std::chrono::steady_clock::now() - begun;
+  EXPECT_LT(took, std::chrono::seconds(10));
+  RecordProperty("held", std::to_string(held));
+  RecordProperty("ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(took).count()));
+}
+
+}  // namespace
+}  // namespace firspool::testing
