Answer an id that comes twice in one turn by one decision: no +OK before its record

Cause: Custody::put answered +OK for an id that was handed in on another connection in the same turn, before the module's step and the record. Where the first was then refused, the second had been told that it is taken on, and nothing was owed. Change: until its record is written it is the same message, and both connections have its one answer. Seen to fail before: OneIdThatComesTwiceInOneTurnHasOneAnswer, client.line().starts_with("-BUSY") false for the second and third of three.

--- a/relay/custody.cpp
+++ b/relay/custody.cpp
@@ -68,7 +68,10 @@
 }
 
 std::variant<uint64_t, std::string> Custody::put(Handed handed) {
-  if (numbers_.contains(handed.id)) return "+OK";  // sent once more: it is held already
+  if (const auto number = number_of(handed.id)) {  // sent once more
+    if (!held_.at(*number).taken) return *number;  // in this very turn: one decision answers both
+    return "+OK";
+  }
   const auto rules = rules_.find(handed.message_class);
   if (rules == rules_.end()) return "-ERR unknown class";
   const int tenant = tenant_of(handed.tenant);
@@ -112,6 +115,7 @@
     happened_(Withdrawn{number});
   }
   if (line == "+OK") {
+    held->second.taken = true;
     figures_.taken();
   } else {
     numbers_.erase(handed.id);
@@ -133,6 +137,7 @@
     if (held.handed.verdict && !held.handed.verdict->limits.empty()) grant();
     held.attempts = entry.attempts;
     held.since = steady_now();
+    held.taken = true;
     held.stage = entry.attempts > 0 ? Stage::kWait : Stage::kQueue;
     numbers_[entry.message.id] = number;
     Arrival in;
--- a/relay/custody.h
+++ b/relay/custody.h
@@ -24,7 +24,8 @@
     bool out = false;     // its call is
     bool passed = false;  // to the successor, which has not said yet that it is written
     Stage stage = Stage::kQueue;
-    Time since = 0;  // when that began
+    Time since = 0;      // when that began
+    bool taken = false;  // its record is written: the relay's until its end
   };
   using Happened = std::function<void(Event)>;  // for the module
 
@@ -43,7 +44,7 @@
   size_t classes() const { return rules_.size(); }
 
   // A message that a client hands in. A line: its answer. A number: the module hears of it, and decided()
-  // tells the answer after the module's step.
+  // tells the answer after the module's step; one that comes once more before that has the same number.
   // Denied by its customer's rules, it is answered once that is written.
   std::variant<uint64_t, std::string> put(Handed handed);
   // It is the relay's from the moment that its record is written; only then its client is told, and only then
--- a/relay/turn.cpp
+++ b/relay/turn.cpp
@@ -102,11 +102,17 @@
   }
   std::vector<Pending> pending;
   pending.swap(pending_);
+  std::map<uint64_t, std::string> lines;  // one for each message, however often it came in this turn
   for (const Pending& item : pending) {
-    if (custody_.find(item.number) == nullptr) continue;
-    const auto away = turned_away.find(item.number);
-    const Action* turned = away == turned_away.end() ? nullptr : away->second;
-    item.answer(custody_.decided(item.number, turned, turned == nullptr && shut()));
+    auto line = lines.find(item.number);
+    if (line == lines.end()) {
+      if (custody_.find(item.number) == nullptr) continue;
+      const auto away = turned_away.find(item.number);
+      const Action* turned = away == turned_away.end() ? nullptr : away->second;
+      const bool fenced = turned == nullptr && shut();
+      line = lines.emplace(item.number, custody_.decided(item.number, turned, fenced)).first;
+    }
+    item.answer(line->second);
   }
 }
 
--- a/tests/program_crossing_test.cpp
+++ b/tests/program_crossing_test.cpp
@@ -51,6 +51,32 @@
   }
 }
 
+// Handed in on two connections in one turn: none is told that it is taken on before that is written.
+TEST(ProgramCrossing, OneIdThatComesTwiceInOneTurnHasOneAnswer) {
+  Stage s;
+  s.config["limits"]["disk_mb"] = 0.02;
+  Program small(s.config);
+  small.start();
+  std::vector<Socket> clients;
+  for (int i = 0; i < 3; ++i) clients.push_back(small.client());
+  for (Socket& client : clients) {
+    client.send("*1\r\n$4\r\nPING\r\n");
+    EXPECT_EQ(client.line(), "+PONG");
+  }
+  small.signal(SIGSTOP);
+  for (Socket& client : clients) client.send(put_bytes(kId, kFacts, std::string(9500, 'x')));
+  small.signal(SIGCONT);
+  for (Socket& client : clients) EXPECT_TRUE(client.line().starts_with("-BUSY"));
+  small.signal(SIGSTOP);
+  for (Socket& client : clients) client.send(put_bytes(kId, kFacts));
+  small.signal(SIGCONT);
+  for (Socket& client : clients) EXPECT_EQ(client.line(), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), kId);
+  s.host.answer("200");
+  clients[0].send(put_bytes("00000000000000a2", kFacts));
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
+}
+
 // It gets no part of a core until the time of both is over: no call begins, and both have their notice.
 TEST(ProgramCrossing, TimeThatEndsWhileItStandsStillIsOver) {
   Stage s;
