Take no id on anew while its notice is owed: it ran twice, and lost its record

Handed in again it was taken on anew, sent again (an unsafe one too), and the notice's `done` removed the new message's records. Seen to fail before: AnIdWhoseNoticeIsOwedIsNotTakenOnAnew, the next call was the first id once more, and after a restart it had two notices.

--- a/relay/custody.cpp
+++ b/relay/custody.cpp
@@ -72,6 +72,7 @@
     if (!held_.at(*number).taken) return *number;  // in this very turn: one decision answers both
     return "+OK";
   }
+  if (journal_.holds(handed.id)) return "+OK";  // it is over, and its notice is on its way
   const auto rules = rules_.find(handed.message_class);
   if (rules == rules_.end()) return "-ERR unknown class";
   const int tenant = tenant_of(handed.tenant);
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -56,6 +56,8 @@
   // What a compaction would keep, with what is set aside for the records to come.
   size_t live_bytes() const { return live_bytes_ + hits_.bytes(); }
 
+  // Whether something of a message is owed still: its end, or only the notice of that.
+  bool holds(const std::string& id) const { return places_.contains(id); }
   // Whether a message would find room now.
   bool has_room(const Handed& message) const;
   // False: there is no room or it could not be written, and the message must not be taken on.
--- a/tests/program_crossing_test.cpp
+++ b/tests/program_crossing_test.cpp
@@ -77,6 +77,26 @@
   EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
 }
 
+// It is over, and the notice of that is on its way: taken on anew it would run once more, and the notice's
+// end would take the new one's records along.
+TEST(ProgramCrossing, AnIdWhoseNoticeIsOwedIsNotTakenOnAnew) {
+  Stage s;
+  s.discovery.refuse(1'000'000);
+  s.program.start();
+  EXPECT_EQ(s.put(kId, facts("unsafe")), "+OK");
+  s.host.next();
+  s.host.reset();
+  while (s.discovery.refused() == 0) std::this_thread::yield();
+  EXPECT_EQ(s.put(kId, facts("unsafe")), "+OK");
+  EXPECT_EQ(s.put("00000000000000a2", facts("unsafe")), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
+  s.restart_killed();
+  s.discovery.refuse(0);
+  std::multiset<std::string> ended;
+  for (int i = 0; i < 2; ++i) ended.insert(s.discovery.notice().at("id"));
+  EXPECT_EQ(ended, (std::multiset<std::string>{kId, "00000000000000a2"}));
+}
+
 // It gets no part of a core until the time of both is over: no call begins, and both have their notice.
 TEST(ProgramCrossing, TimeThatEndsWhileItStandsStillIsOver) {
   Stage s;
