Write no fact before those that came first: a list's revision hid a drain after a restart

Change: after a fact that could not be written, the next is written by a compaction, with all of them, or not at all. Seen to fail before: AFactIsNotThereBeforeThoseThatCameFirst, revision "2" with the host of 1; FactsThatFoundNoRoomAreWrittenOnceThereIsSome, the host still "active" behind revision 3.

--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -97,7 +97,7 @@
   const auto old = remembered_.find(name);
   if (value == (old == remembered_.end() ? "" : old->second)) return;
   keep_fact(name, value);
-  write(record::fact(name, value));
+  facts_owed_ = facts_owed_ ? frozen_ || !compact() : !write(record::fact(name, value));
 }
 
 bool Journal::has_room(const Handed& m) const {
@@ -204,7 +204,7 @@
   ::close(file_);
   file_ = fresh;
   size_ = bytes.size();
-  hits_owed_ = false;
+  hits_owed_ = facts_owed_ = false;
   return true;
 }
 
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -72,7 +72,9 @@
   // With an outcome, false says that it is not on disk yet; a later end or catch_up() writes it.
   bool owed(const Notice& notice, const Ended* ended = nullptr);
   bool done(const std::string& id, const Ended* ended = nullptr);
-  // A fact beside the messages; the last value of a name counts, an empty one forgets it.
+  // A fact beside the messages; the last value of a name counts, an empty one forgets it. On disk there is
+  // none without all those before it: one that could not be written goes first, with the next fact or
+  // compaction.
   void remember(const std::string& name, const std::string& value);
 
  private:
@@ -107,7 +109,8 @@
   std::vector<Recovered> recovered_;
   std::map<std::string, std::string> remembered_;
   JournalHits hits_;
-  bool hits_owed_ = false;  // what was added of another file could not be written yet
+  bool facts_owed_ = false;  // one could not be written yet
+  bool hits_owed_ = false;   // what was added of another file could not be written yet
 };
 
 }  // namespace firspool::relay
--- a/tests/journal_cut_test.cpp
+++ b/tests/journal_cut_test.cpp
@@ -129,5 +129,44 @@
   EXPECT_EQ(found(), "a:1 0@50000000/1; b:1; d:0 returned; e:0; ");
 }
 
+// A list's revision says that its hosts are there: behind one that could not be written it would hide a
+// drain.
+TEST_F(JournalCut, AFactIsNotThereBeforeThoseThatCameFirst) {
+  const std::string drained(100, 'd');
+  {
+    Journal journal = open();
+    journal.remember("host 1", "active");
+    journal.remember(Journal::kRevision, "1");
+    fill(journal);
+    journal.limit(bytes().size() + 60);
+    journal.remember("host 1", drained);
+    journal.remember(Journal::kRevision, "2");
+  }
+  std::filesystem::remove(path().string() + ".new");
+  Journal journal = open();
+  EXPECT_EQ(journal.remembered().at("host 1"), "active");
+  EXPECT_EQ(journal.remembered().at(Journal::kRevision), "1");
+}
+
+TEST_F(JournalCut, FactsThatFoundNoRoomAreWrittenOnceThereIsSome) {
+  const std::string drained(100, 'd');
+  {
+    Journal journal = open();
+    journal.remember("host 1", "active");
+    journal.remember(Journal::kRevision, "1");
+    fill(journal);
+    journal.limit(bytes().size() + 60);
+    journal.remember("host 1", drained);
+    journal.remember(Journal::kRevision, "2");
+    make_room(journal);
+    journal.remember("host 1", drained);  // as it was: nothing new is to be written
+    journal.remember(Journal::kRevision, "2");
+    journal.remember(Journal::kRevision, "3");
+  }
+  Journal journal = open();
+  EXPECT_EQ(journal.remembered().at("host 1"), drained);
+  EXPECT_EQ(journal.remembered().at(Journal::kRevision), "3");
+}
+
 }  // namespace
 }  // namespace firspool::relay
