Outlive a file that may not grow: SIGXFSZ ended the process

Change: main ignores it, as SIGPIPE. Seen to fail before: NothingStartsThatCannotBeWritten, no answer to the put under the limit and none after it; ACallThatCannotBeRecordedIsNotSent, no notice.

--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -78,6 +78,7 @@
   firspool::relay::set_up_log(given.format, given.level);
   try {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is a write that failed
     boost::asio::io_context io(1);
     boost::asio::signal_set ends(io, SIGTERM, SIGINT);
     boost::asio::signal_set changes(io, SIGHUP);
--- a/tests/program_crossing_test.cpp
+++ b/tests/program_crossing_test.cpp
@@ -1,5 +1,6 @@
-// Crossings inside one process: bytes that come between two of its steps.
+// Crossings inside one process: bytes that come between two of its steps, and writes that fail there.
 #include <sys/ioctl.h>
+#include <sys/resource.h>
 
 #include <chrono>
 #include <csignal>
@@ -20,6 +21,11 @@
   return count;
 }
 
+void limit_file(const Program& program, rlim_t bytes) {
+  const rlimit limit{bytes, RLIM_INFINITY};
+  ASSERT_EQ(::prlimit(program.pid(), RLIMIT_FSIZE, &limit, nullptr), 0);
+}
+
 // Its client has the answer before the host has a byte, also where many come at once.
 TEST(ProgramCrossing, AMessageIsTakenOnBeforeItIsSent) {
   Stage s;
@@ -97,6 +103,38 @@
   EXPECT_EQ(ended, (std::multiset<std::string>{kId, "00000000000000a2"}));
 }
 
+// A file that may not grow ends no process, and what is freed recovers by itself.
+TEST(ProgramCrossing, NothingStartsThatCannotBeWritten) {
+  Stage s;
+  s.program.start();
+  EXPECT_EQ(s.put(kId, facts("unsafe", 99)), "+OK");
+  limit_file(s.program, 1);
+  EXPECT_TRUE(s.put("00000000000000a2", facts("unsafe")).starts_with("-BUSY"));
+  limit_file(s.program, RLIM_INFINITY);
+  EXPECT_EQ(s.put("00000000000000a3", facts("unsafe")), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a3");
+  limit_file(s.program, 1);
+  s.host.answer("200");  // delivered, and its end cannot be written
+  EXPECT_TRUE(s.put("00000000000000a4", facts("unsafe")).starts_with("-BUSY"));
+  s.restart_killed();
+  EXPECT_EQ(s.discovery.notice(), nlohmann::json({{"id", "00000000000000a3"}, {"state", "failed"}}));
+  s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
+  EXPECT_EQ(id_of(s.host.next()), kId);  // and of the one that is over no call
+}
+
+// A call that cannot be recorded is not sent; nor is its message forgotten.
+TEST(ProgramCrossing, ACallThatCannotBeRecordedIsNotSent) {
+  Stage s;
+  s.program.start();
+  EXPECT_EQ(s.put(kId, facts("unsafe", 99)), "+OK");
+  limit_file(s.program, 1);
+  s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
+  EXPECT_EQ(s.discovery.notice().at("id"), kId);
+  limit_file(s.program, RLIM_INFINITY);
+  EXPECT_EQ(s.put("00000000000000a2", facts("unsafe", 99)), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
+}
+
 // It gets no part of a core until the time of both is over: no call begins, and both have their notice.
 TEST(ProgramCrossing, TimeThatEndsWhileItStandsStillIsOver) {
   Stage s;
