Count a resumed message of a tenant that left the settings against no other's quota

Cause: Custody::resume told the module tenant 0 for one that the settings no longer name, so the first tenant paid. Change: it is told as no tenant, which the module knows. Seen to fail before: ATenantThatLeftTheSettingsSpendsNoOthersQuota, b3 was sent before b2.

--- a/relay/custody.cpp
+++ b/relay/custody.cpp
@@ -151,7 +151,7 @@
       finish(number, Notice{entry.message.id, false, 0});
       continue;
     }
-    in.tenant = std::max(0, tenant_of(entry.message.tenant));
+    in.tenant = tenant_of(entry.message.tenant);  // -1: it left the settings, and spends no other's quota
     in.key = held.handed.sequence_key;
     in.due = held.handed.budget.due();
     in.destination = entry.message.destination;
--- a/tests/program_kill_test.cpp
+++ b/tests/program_kill_test.cpp
@@ -172,5 +172,31 @@
   s.expect_no_more();
 }
 
+// Numbers of tenants are positions in the settings: what is held of one that left them is not the first
+// one's.
+TEST(ProgramKill, ATenantThatLeftTheSettingsSpendsNoOthersQuota) {
+  Stage s;
+  nlohmann::json& settings = s.config["settings"];
+  settings["family_info"]["calls_out"] = 1;
+  settings["over_share_worth"] = 0.1;
+  settings["realms"] = {{{"name", "left"}, {"quota_per_s", 1e6}}};
+  s.program.configure(s.config);
+  s.program.start();
+  const auto put = [&](const std::string& id, const std::string& tenant, int destination = 7) {
+    return s.put(id, "c=safe,t=" + tenant + ",d=60000,dest=" + std::to_string(destination));
+  };
+  EXPECT_EQ(put("a1", "left", 99), "+OK");
+  s.program.kill();
+  settings["realms"] = {{{"name", "small"}, {"quota_per_s", 0.5}}, {{"name", "large"}, {"quota_per_s", 1e6}}};
+  s.program.configure(s.config);
+  s.program.start();
+  EXPECT_EQ(put("b1", "large"), "+OK");
+  EXPECT_EQ(id_of(s.host.next()), "b1");
+  EXPECT_EQ(put("b2", "small"), "+OK");  // the one that its quota has room for
+  EXPECT_EQ(put("b3", "large"), "+OK");
+  s.host.answer("200");
+  EXPECT_EQ(id_of(s.host.next()), "b2");
+}
+
 }  // namespace
 }  // namespace firspool::testing
