Give a call that finds no host back under its own number, and keep its message

Cause: by reading. A Send whose host the directory has forgotten was reported as attempt 0 and final: for a repeat the module would find no such attempt and hold the message as out for ever, for a first try it would forget a message that custody still holds. Either way its client has no final answer. Change: the attempt counts, and only a message that is over is final. It cannot be forced from outside: the directory forgets only hosts that the module heard are gone.

--- a/relay/turn.cpp
+++ b/relay/turn.cpp
@@ -123,9 +123,10 @@
     if (held == nullptr || host == nullptr) {  // given back in this very turn for want of room
       AttemptEnded moot;
       moot.id = send->id;
+      moot.attempt = held == nullptr ? 0 : held->attempts++;
       moot.endpoint = send->endpoint;
       moot.outcome = Outcome::kMoot;
-      moot.final = true;
+      moot.final = held == nullptr;  // one that is held still is owed its end
       return happened(std::move(moot));
     }
     Call call;
