--- a/include/firspool/events.h
+++ b/include/firspool/events.h
@@ -52,6 +52,7 @@
   bool pause = false;  // its last attempt may have ended just now: a repeat waits, as it would have there
   std::shared_ptr<const Ways> ways;  // null: by all ways
   bool room = true;                  // the caller can keep it; else it is refused
+  bool keeps_turn = false;           // given up, it keeps its turn until Withdrawn: it is not over before
 };
 
 enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot };
@@ -74,8 +75,11 @@
   std::vector<float> report;
 };
 
+// Nothing is owed for it any more. Of a message that the module gave up on and whose Arrival asked for this
+// word, its turn among those of its key ends here.
 struct Withdrawn {
   uint64_t id = 0;
+  uint64_t key = 0;
 };
 
 struct TimerFired {
--- a/relay/custody.cpp
+++ b/relay/custody.cpp
@@ -23,7 +23,7 @@
       customers_(rules),
       journal_(std::move(place), most_file, instant_now, end_room),
       figures_(settings.classes),
-      notices_(io, discovery, [this](const std::string& id) { journal_.done(id); }),
+      notices_(io, discovery, [this](const std::string& id) { noticed(id); }),
       waits_(waits),
       happened_(std::move(happened)) {
   journal_.keep_hits(customers_.in_force());
@@ -89,6 +89,7 @@
   in.rules = handed.rules = rules->second;
   in.tenant = tenant;
   in.key = handed.sequence_key;
+  in.keeps_turn = true;
   in.due = handed.budget.due();
   in.destination = handed.destination;
   in.ways = umberhoist::access::ways_of(handed.verdict);
@@ -119,55 +120,13 @@
     held->second.taken = true;
     figures_.taken();
   } else {
+    if (away != nullptr && handed.sequence_key != 0) happened_(Withdrawn{number, handed.sequence_key});
     numbers_.erase(handed.id);
     held_.erase(held);
   }
   return line;
 }
 
-void Custody::resume(const std::vector<Recovered>& entries, bool pause) {
-  for (const Recovered& entry : entries) {
-    if (entry.owed) {
-      notices_.add(*entry.owed);
-      continue;
-    }
-    const uint64_t number = ++last_number_;
-    Held& held = held_[number];
-    held.handed = entry.message;
-    held.handed.verdict = customers_.recorded(entry.verdict);
-    if (held.handed.verdict && !held.handed.verdict->limits.empty()) grant();
-    held.attempts = entry.attempts;
-    held.since = steady_now();
-    held.taken = true;
-    held.stage = entry.attempts > 0 ? Stage::kWait : Stage::kQueue;
-    numbers_[entry.message.id] = number;
-    Arrival in;
-    in.id = number;
-    in.rules = entry.message.rules;
-    if (const auto known = rules_.find(entry.message.message_class); !in.rules && known != rules_.end()) {
-      in.rules = held.handed.rules = known->second;
-    }
-    if (!in.rules) {  // nothing is known of what it allows
-      finish(number, Notice{entry.message.id, false, 0});
-      continue;
-    }
-    in.tenant = tenant_of(entry.message.tenant);  // -1: it left the settings, and spends no other's quota
-    in.key = held.handed.sequence_key;
-    in.due = held.handed.budget.due();
-    in.destination = entry.message.destination;
-    in.ways = umberhoist::access::ways_of(held.handed.verdict);
-    in.attempts = entry.attempts;
-    in.pause = pause;
-    if (!entry.unsettled.empty()) {
-      const auto& [sent, zone] = entry.unsettled.begin()->second;
-      in.ran = true;
-      in.ran_sent = sent;
-      in.ran_zone = zone;
-    }
-    happened_(in);
-  }
-}
-
 Custody::Held* Custody::find(uint64_t number) {
   const auto it = held_.find(number);
   return it == held_.end() ? nullptr : &it->second;
@@ -220,10 +179,18 @@
   const Ended* outcome = ended ? &*ended : nullptr;
   const bool written = notice ? journal_.owed(*notice, outcome) : journal_.done(held.handed.id, outcome);
   if (ended && written) journal_.logged(outcomes_->append());
+  if (notice && held.handed.sequence_key != 0) {
+    ending_[held.handed.id] = {number, held.handed.sequence_key};
+  }
   if (notice) notices_.add(std::move(*notice));
   forget(number);
 }
 
+void Custody::noticed(const std::string& id) {
+  journal_.done(id);
+  if (const auto ended = ending_.extract(id)) happened_(ended.mapped());
+}
+
 // A class that left the settings goes with the last of its messages.
 void Custody::forget(uint64_t number) {
   const auto held = held_.find(number);
--- a/relay/custody.h
+++ b/relay/custody.h
@@ -87,6 +87,8 @@
   void grant();
   int tenant_of(const std::string& name) const;
   void forget_class(const std::string& name);
+  // The platform knows of its end: only now it is over for those behind it in its sequence.
+  void noticed(const std::string& id);
 
   std::vector<TenantSettings> tenants_;
   std::map<std::string, std::shared_ptr<const MessageRules>> rules_;  // of the settings as they are now
@@ -102,6 +104,7 @@
   uint64_t last_number_ = 0;
   std::unordered_map<uint64_t, Held> held_;
   std::unordered_map<std::string, uint64_t> numbers_;
+  std::unordered_map<std::string, Withdrawn> ending_;  // those of a sequence whose notices are owed
 };
 
 }  // namespace firspool::relay
--- /dev/null
+++ b/relay/custody_resume.cpp
@@ -0,0 +1,50 @@
+// What was taken on before a restart, or by another process, as custody takes it over.
+#include "custody.h"
+
+namespace firspool::relay {
+
+void Custody::resume(const std::vector<Recovered>& entries, bool pause) {
+  for (const Recovered& entry : entries) {
+    if (entry.owed) {
+      notices_.add(*entry.owed);
+      continue;
+    }
+    const uint64_t number = ++last_number_;
+    Held& held = held_[number];
+    held.handed = entry.message;
+    held.handed.verdict = customers_.recorded(entry.verdict);
+    if (held.handed.verdict && !held.handed.verdict->limits.empty()) grant();
+    held.attempts = entry.attempts;
+    held.since = steady_now();
+    held.taken = true;
+    held.stage = entry.attempts > 0 ? Stage::kWait : Stage::kQueue;
+    numbers_[entry.message.id] = number;
+    Arrival in;
+    in.id = number;
+    in.rules = entry.message.rules;
+    if (const auto known = rules_.find(entry.message.message_class); !in.rules && known != rules_.end()) {
+      in.rules = held.handed.rules = known->second;
+    }
+    if (!in.rules) {  // nothing is known of what it allows
+      finish(number, Notice{entry.message.id, false, 0});
+      continue;
+    }
+    in.tenant = tenant_of(entry.message.tenant);  // -1: it left the settings, and spends no other's quota
+    in.key = held.handed.sequence_key;
+    in.keeps_turn = true;
+    in.due = held.handed.budget.due();
+    in.destination = entry.message.destination;
+    in.ways = umberhoist::access::ways_of(held.handed.verdict);
+    in.attempts = entry.attempts;
+    in.pause = pause;
+    if (!entry.unsettled.empty()) {
+      const auto& [sent, zone] = entry.unsettled.begin()->second;
+      in.ran = true;
+      in.ran_sent = sent;
+      in.ran_zone = zone;
+    }
+    happened_(in);
+  }
+}
+
+}  // namespace firspool::relay
--- a/src/messages.h
+++ b/src/messages.h
@@ -34,9 +34,9 @@
   }
 
   // Nothing is owed for it any more, but while its call is out it keeps its turn.
-  void withdraw(uint64_t id) {
-    const auto it = s_.messages.find(id);
-    if (it == s_.messages.end()) return;
+  void withdraw(const Withdrawn& e) {
+    const auto it = s_.messages.find(e.id);
+    if (it == s_.messages.end()) return leave_turn(e.key, e.id);
     it->second.withdrawn = true;
     if (!it->second.out) end(it->second);
   }
@@ -59,11 +59,8 @@
     m.ran_zone = zone;
   }
 
-  void end(const Message& m) {
-    if (m.rules->in_order && m.key != 0) {
-      std::erase(turns_[m.key], m.id);
-      if (turns_[m.key].empty()) turns_.erase(m.key);
-    }
+  void end(const Message& m, bool given_up = false) {
+    if (!given_up || !m.keeps_turn) leave_turn(m.key, m.id);
     s_.messages.erase(s_.messages.find(m.id));
   }
 
@@ -165,6 +162,12 @@
   }
 
  private:
+  void leave_turn(uint64_t key, uint64_t id) {
+    const auto turns = turns_.find(key);
+    if (turns != turns_.end() && std::erase(turns->second, id) > 0 && turns->second.empty())
+      turns_.erase(turns);
+  }
+
   void pause(Message& m) { m.not_before = s_.now + s_.random.between(kPauseLeast, kPauseMost); }
 
   // What a tenant sends beyond its quota is worth little. A part that was not granted is taken as even.
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -39,7 +39,7 @@
   void fold(const Retuned& e) { s_.retune(e.settings); }
   void fold(const MembersChanged& e) { members_.changed(e); }
   void fold(const Arrival& e) { messages_.take(e); }
-  void fold(const Withdrawn& e) { messages_.withdraw(e.id); }
+  void fold(const Withdrawn& e) { messages_.withdraw(e); }
   void fold(const PeerNote&) {}
   void fold(const DestinationMemory& e) { outages_.recall(e); }
   void fold(const WaitTold& e) { limits_.wait(e.until, s_.lane({e.destination, e.endpoint})); }
--- a/src/refusals.h
+++ b/src/refusals.h
@@ -93,7 +93,7 @@
   void give_up(const Message& m, Reason reason, Time wait = 0) {
     s_.tell(messages_.refusable(m) ? Action{Refuse{m.id, come_again(m, reason, wait), reason}}
                                    : Action{Fail{m.id}});
-    messages_.end(m);
+    messages_.end(m, true);
   }
 
   // Once what waits should be served and a told wait is over, at random; 0: not heard, or its time were over.
--- a/tests/sequence_test.cpp
+++ b/tests/sequence_test.cpp
@@ -19,8 +19,8 @@
     program_.configure(config_);
   }
 
-  void put(Socket& client, const std::string& key, const std::string& id) {
-    std::string request = put_bytes(id, kFacts);
+  void put(Socket& client, const std::string& key, const std::string& id, const std::string& facts = kFacts) {
+    std::string request = put_bytes(id, facts);
     request.replace(request.find(kNoKey), std::string(kNoKey).size(), key);
     client.send(request);
     EXPECT_EQ(client.line(), "+OK");
@@ -55,6 +55,25 @@
   EXPECT_EQ(called(first), "00000000000000a2");
 }
 
+// An end that the platform has not heard of is none for it: the next of the key waits for that, however long
+// the platform takes. What is taken on behind it under another key is called before.
+TEST_F(Sequence, TheNextOfAKeyWaitsForTheNoticeOfTheOneBefore) {
+  config_["settings"]["categories"][2]["in_order"] = true;
+  program_.configure(config_);
+  discovery_.refuse(3);
+  program_.start();
+  Socket client = program_.client();
+  put(client, kKey, "00000000000000a1", "c=unsafe,d=60000,dest=7");
+  Socket first = endpoint_.accept();
+  EXPECT_EQ(called(first), "00000000000000a1");
+  put(client, kKey, "00000000000000a2", "c=unsafe,d=60000,dest=7");
+  first.reset();  // it may have run, and cannot be sent again
+  Socket second = endpoint_.accept();
+  EXPECT_EQ(called(second), "00000000000000a2");
+  EXPECT_EQ(discovery_.refused(), 3);
+  EXPECT_EQ(discovery_.notice()["id"], "00000000000000a1");
+}
+
 TEST_F(Sequence, ZerosAreNoKey) {
   program_.start();
   Socket client = program_.client();
