Hold many relays that share nothing inside a cold destination's budget together

Now a rare caller's repeat goes beside its pace and one at a time, and its failure proves an outage; a refusal with room left in its report counts as one there. A relay that is out sends by the budget of the return's first moment. Parts add up to no more than the whole, so 0.85 of the budget is used, not 0.7. Suspected outages are remembered. Relays that resume messages draw by chance where they stand.

--- a/include/firspool/events.h
+++ b/include/firspool/events.h
@@ -45,6 +45,7 @@
   int destination = 0;
   std::shared_ptr<const MessageRules> rules;  // null: those of message_class in the settings as they are now
   // Of a message that is resumed after a restart: what became of it before. Attempts are counted on.
+  bool resumed = false;
   int attempts = 0;
   bool ran = false;   // an attempt may have run
   Time ran_sent = 0;  // when the first such attempt was sent
--- a/src/connections.h
+++ b/src/connections.h
@@ -40,10 +40,9 @@
       k.unconnected *= 1 - kFullTable / 2;
     }
     if (outcome != Outcome::kOk && outcome != Outcome::kReset && outcome != Outcome::kTimeout) return;
-    const double failed = outcome == Outcome::kOk ? 0 : 1;
     double& share = attempt.idle == 0 ? lost_ : stale_;
-    share += kGain * (failed - share);
-    if (failed == 0 || attempt.idle == 0 || stale_ < lost_ + kStaleAbove) return;
+    share += kGain * ((outcome == Outcome::kOk ? 0 : 1) - share);
+    if (outcome == Outcome::kOk || attempt.idle == 0 || stale_ < lost_ + kStaleAbove) return;
     keep_ = std::min(keep(), std::max(attempt.idle / kKeepCut, s_.set.tick));
     keep_at_ = s_.now;
   }
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -64,7 +64,8 @@
     Host* host = choose(m, d);
     if (host == nullptr || !limits_.may_scout(*host)) return;
     Lane& l = *host->lane;
-    const Attempt call{host->member.endpoint, s_.now, ++last_call_, false, l.out(), connections_.open(*host)};
+    const bool scout = limits_.scouting(l);
+    const Attempt call{host->member.endpoint, s_.now, ++last_call_, false, scout, connections_.open(*host)};
     host->sent.add(s_.now);
     ++host->calls;
     ++d.calls;
--- a/src/limits.h
+++ b/src/limits.h
@@ -17,9 +17,9 @@
 constexpr double kEaseBound = 0.1;    // and while messages wait for it, as in all relays they would
 constexpr double kLowered = 0.8;      // a limit cut to less than this part is heeded before it is used up
 constexpr int kSeen = 10;             // of so few relays each sees by its own calls how busy an endpoint is
-constexpr double kColdMargin = 0.7;   // part of the fail-back budget that is used: counts and clocks differ
-constexpr double kScoutPart = 0.5;    // scouts of all relays together, in parts of the rate before the outage
-constexpr double kScoutLeast = 1.5;   // scouts a second of all relays together at least
+constexpr double kColdMargin = 0.85;  // part of the fail-back budget that is used: counts and clocks differ
+constexpr double kScoutPart = 0.5;    // of that part, left to scouts at least,
+constexpr double kScoutLeast = 1.5;   // and so many of them a second of all relays together
 constexpr double kHolders = 5;  // seconds: holders of messages are counted as of an outage at least this old
 constexpr double kLimitBurst = 0.4;  // seconds of the pace that may go at once
 
@@ -36,7 +36,7 @@
     // Many relays started together would use it up before the first of them hears how much is left.
     if (s_.set.relays <= kSeen || s_.set.report_left < 0 || l.pace != 0) return;
     l.pace = even_part(limit);
-    l.pacer = {1, s_.now};
+    if (l.pacer.at == 0) l.pacer = {1, s_.now};
   }
 
   // At the end of a wait all relays that were told come back: the random pause keeps them out of step.
@@ -84,13 +84,23 @@
     return std::max(even, (l.served.per_second(s_.now) * memory + 1) / (seen + 1 / even));
   }
 
+  // Own part of what is served, or of the limit: over all relays no more than the whole, however uneven.
+  double own_part(const Lane& l) const {
+    const double own = l.served.per_second(s_.now);
+    return l.limit > 0 ? (own + l.limit / s_.set.relays) / 2 : own + kBaseLeast / s_.set.relays;
+  }
+
+  // A rare caller sees one failure of an outage, and its repeat's: its calls ask for the end, one at a time.
+  bool rare(const Lane& l) const { return pooled_rate(l) * kHolders < 1; }
+  bool scouting(const Lane& l) const { return l.out() || (l.hard > 0 && rare(l)); }
+
   // When this lane may be sent to; kNever: only after some outcome.
   Time admits(Lane& l) const {
     if (l.wait_until > s_.now) return l.wait_until;
+    // Without an answer to the last scout another tells little, and would fill the slots.
+    if (l.scouts > 0 && scouting(l)) return kNever;
     if (l.out_since != 0) {
-      // Without an answer to the last scout another tells little, and would fill the slots.
-      if (l.out() && l.scouts > 0) return kNever;
-      const double rate = l.out() ? scout_rate(l) : cold_rate(l);
+      const double rate = cold_rate(l);
       l.cold.refill(s_.now, rate, 1);
       if (l.cold.tokens < 1) return std::min(l.cold.ready(s_.now, rate), s_.now + kSecond);
     }
@@ -133,22 +143,18 @@
     return std::max(1e-3, 1 - std::exp(-std::max(kHolders, seconds(end - l.out_since)) * l.base));
   }
 
-  // Own part of what a cold destination takes, beside the first calls of the relays that know of no outage.
+  // Own part of what a cold destination takes beside callers that know of no outage. One that is out may be.
   double cold_rate(const Lane& l) const {
-    const double warm = s_.set.cold <= 0 ? 0 : seconds(s_.now - l.back_since) / seconds(s_.set.cold);
+    const double warm = l.out() ? 0 : seconds(s_.now - l.back_since) / std::max(1e-6, seconds(s_.set.cold));
     const double capacity = s_.set.start_capacity + (1 - s_.set.start_capacity) * std::clamp(warm, 0.0, 1.0);
     const double know = knowing(l);
-    return l.base * std::max(0.0, kColdMargin * s_.set.fall_multiple * capacity - (1 - know)) / know;
-  }
-
-  // Own part of the fleet's scouts. The relays that hold messages for the lane share them.
-  double scout_rate(const Lane& l) const {
-    return std::max(kScoutPart * l.base, kScoutLeast / s_.set.relays) / knowing(l);
+    const double budget = kColdMargin * s_.set.fall_multiple * capacity;
+    const double least = l.out() ? std::max(kScoutPart * budget * l.base, kScoutLeast / s_.set.relays) : 0;
+    return std::max(l.base * (budget - (1 - know)), least) / know;
   }
 
   static double reported(const std::vector<float>& report, int index, double otherwise) {
-    const auto at = static_cast<size_t>(index);  // no report is so long that it holds -1
-    const double value = at < report.size() ? report[at] : -1;
+    const double value = index >= 0 && index < std::ssize(report) ? report[static_cast<size_t>(index)] : -1;
     return std::isfinite(value) && value >= 0 ? value : otherwise;
   }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -30,6 +30,11 @@
     m.repeat = e.attempts > 0;
     if (m.repeat && e.pause) pause(m);
     m.resumed_ran = e.ran;
+    if (e.resumed) {  // relays that restart at once are out of step; an attempt of it failed
+      Lane& l = s_.lane({e.destination, Endpoint{}});
+      l.pacer = {seconds(s_.random.between(0, kSecond)), s_.now};
+      l.hard = std::max(l.hard, std::min(e.attempts, 1));
+    }
     if (m.rules->in_order && e.key != 0) turns_[e.key].push_back(e.id);
   }
 
--- a/src/outages.h
+++ b/src/outages.h
@@ -25,16 +25,15 @@
     l.out_since = e.out_since;
     l.back_since = e.back_since;
     l.base = e.base;
-    l.cold = {0, s_.now};
+    l.cold = {seconds(s_.random.between(0, kSecond)), s_.now};
     watch(l);
   }
 
-  // An outage that rests on suspicion alone is not worth keeping.
   void remember() {
     for (auto& [number, d] : s_.destinations) {
       DestinationMemory next{number, d.tokens - d.tokens % kToken};
       const Lane& l = s_.lane({number, Endpoint{}});
-      if (l.out_since != 0 && !l.suspected) next = {number, next.tokens, l.out_since, l.back_since, l.base};
+      if (l.out_since != 0) next = {number, next.tokens, l.out_since, l.back_since, l.base};
       if (next != std::exchange(d.remembered, next)) s_.tell(Remember{next});
     }
   }
@@ -62,6 +61,9 @@
     if (l.streak++ == 0 || l.streak_since == kNever) l.streak_since = attempt.sent;
     l.hard = hard ? l.hard + 1 : 0;
     if (l.hard == 1) l.hard_since = attempt.sent;
+    // A rare caller's repeat is all the evidence that it gets: it goes beside the pace, and proves enough.
+    if (l.hard == 1 && limits_.rare(l)) l.pacer.tokens = std::max(l.pacer.tokens, 1.0);
+    if (l.hard > 0 && attempt.scout) l.overdue = kOverdue;
     if (hard) l.suspected = false;
     // Failures after the return start the ramp again; answers to calls from before it tell nothing new.
     if (l.back_since != 0 && l.hard >= kAgainStreak && attempt.sent > l.back_since) {
@@ -84,7 +86,7 @@
       if (l.served.at > attempt.sent) continue;
       s_.wake(suspicious);
       if (s_.now < suspicious) continue;
-      ++l.overdue;
+      l.overdue += attempt.scout ? kOverdue : 1;
       watch(l);
     }
     std::erase_if(watched_, [this](const auto& entry) { return !judge(*entry.second); });
@@ -93,8 +95,7 @@
  private:
   void watch(Lane& l) { watched_[l.key] = &l; }
 
-  // Whether it is to be watched on.
-  bool judge(Lane& l) {
+  bool judge(Lane& l) {  // whether it is to be watched on
     const int overdue = std::exchange(l.overdue, 0);
     if (l.out_since != 0) {
       if (l.out() || s_.now - l.back_since < s_.set.cold) return true;
@@ -110,10 +111,9 @@
   }
 
   void go_out(Lane& l, const char* evidence, bool suspected) {
-    l.base = limits_.pooled_rate(l);
-    l.unconnected = 0;
+    l.base = limits_.own_part(l);
     l.out_since = s_.now;
-    l.back_since = 0;
+    l.back_since = l.unconnected = 0;
     l.suspected = suspected;
     l.cold = {seconds(s_.random.between(0, kSecond)), s_.now};
     l.probe_ok = false;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -82,7 +82,7 @@
       if (e.wait > 0 && l.steered) l.pacer = limits_.late_start(l.wait_until);
       if (e.wait == 0) limits_.narrow(attempt, l);
       const double left = limits_.left(e.report);
-      outages_.unserved(attempt, l, false, e.wait);
+      outages_.unserved(attempt, l, left >= kUsedUp && l.out_since == 0 && limits_.rare(l), e.wait);
       // A rare caller is refused for long by a limit that others use up: that is no outage.
       if (left >= 0 && left < kUsedUp) l.streak_since = kNever;
     } else if (ok) {
--- a/src/refusals.h
+++ b/src/refusals.h
@@ -50,7 +50,8 @@
     std::vector<std::pair<double, uint64_t>> least;
     for (const auto& [id, m] : s_.messages) {
       ++held[m.destination];
-      if (!m.out && messages_.refusable(m)) least.push_back({messages_.worth_at(m, s_.now), id});
+      if (!m.out && messages_.refusable(m))
+        least.push_back({messages_.worth_at(m, s_.now), id});
     }
     std::sort(least.begin(), least.end());
     for (const double share : {kOpenShare * static_cast<double>(room), 0.0}) {
@@ -114,8 +115,8 @@
     return s_.now + after < m.due ? after : 0;
   }
 
-  // Calls a second that a destination's queue may drain at, by the pace that a served call restores and with
-  // all slots at its usual answers: troubles narrow both, but not for so long. kUnknown in an outage.
+  // Calls a second that a queue may drain at, troubles apart: they do not last so long. kUnknown in an
+  // outage.
   double drain_rate(const Destination& d) const {
     double paces = 0;
     for (const auto& [endpoint, host] : d.hosts) {
--- a/src/state.h
+++ b/src/state.h
@@ -43,7 +43,7 @@
   Time sent = 0;
   uint64_t call = 0;
   bool cancelled = false;
-  bool scout = false;  // sent to find an outage's end
+  bool scout = false;  // sent to find an outage, or its end
   Time idle = 0;       // how long its connection had been idle; 0: fresh or busy
 };
 
@@ -97,10 +97,8 @@
 struct Host {
   Member member;
   Lane* lane = nullptr;
-  int calls = 0, conns = 0;
-  Time last_used = 0;
-  int fails = 0;
-  Time avoid_until = 0;
+  int calls = 0, conns = 0, fails = 0;
+  Time last_used = 0, avoid_until = 0;
   Latency latency;
   Rate sent;  // own calls
 
@@ -121,8 +119,7 @@
   std::set<std::pair<int, int>> known;  // zones and kinds that were ever listed
   int tokens = kBucketCap;              // in parts
   DestinationMemory remembered{0, kBucketCap};
-  Latency usual;  // the pace without outliers, against which the slot share narrows
-  Latency latency;
+  Latency latency, usual;  // usual: the pace without outliers, against which the slot share narrows
 };
 
 // What all parts share. In a step each reads the time here, and says here what is done and when to come back.
