Give no message that a restart finds untried back for want of places or a long queue

Both are told apart now: a message that is resumed with no attempt is held until its last start, and new ones are turned away in its place.

Seen to fail without it: resumed_test.cpp:37 (untried ones refused for new ones), :59 and :60 (refused at the cold start). With it none of them is refused before its last start; firspool_tests: 139 of 139 pass.

--- a/src/messages.h
+++ b/src/messages.h
@@ -75,6 +75,7 @@
     return !m.resumed_ran && c.effect == Effect::kKeyed && c.key_scope == KeyScope::kAll;
   }
 
+  bool untried(const Message& m) const { return m.resumed && m.attempts == 0; }  // a restart owes it one
   bool may_repeat(const Message& m) const {
     return m.attempts < m.rules->max_attempts && !(m.ran && m.rules->effect == Effect::kUnsafe);
   }
--- a/src/refusals.h
+++ b/src/refusals.h
@@ -50,7 +50,7 @@
     std::vector<std::pair<double, uint64_t>> least;
     for (const auto& [id, m] : s_.messages) {
       ++held[m.destination];
-      if (!m.out && messages_.refusable(m))
+      if (!m.out && messages_.refusable(m) && !messages_.untried(m))
         least.push_back({messages_.worth_at(m, s_.now), id});
     }
     std::sort(least.begin(), least.end());
@@ -81,7 +81,8 @@
       const int number = messages_.best_way(m, d).limit;
       const Part& part = s_.limit(number);  // -1: never granted, and so no queue
       Queue& limit = limits.try_emplace(number, Queue{kDrainDoubt * part.per_s, part.owed()}).first->second;
-      if (std::max(s_.now, d.open) + std::max(queue.turn(), limit.turn()) < messages_.last_start(m, d)) {
+      const Time turn = std::max(s_.now, d.open) + std::max(queue.turn(), limit.turn());
+      if (messages_.untried(m) || turn < messages_.last_start(m, d)) {
         ++queue.ahead;
         ++limit.ahead;
       } else {
