--- a/src/messages.h
+++ b/src/messages.h
@@ -36,6 +36,7 @@
       l.hard = std::max(l.hard, std::min(e.attempts, 1));
     }
     if (m.rules->in_order && e.key != 0) turns_[e.key].push_back(e.id);
+    if (m.rules->in_order && e.ran) key_rests_[e.key] = {s_.now + s_.set.order_pause, e.id};
   }
 
   // Nothing is owed for it any more, but while its call is out it keeps its turn.
@@ -169,9 +170,7 @@
 
  private:
   void leave_turn(uint64_t key, uint64_t id) {
-    const auto turns = turns_.find(key);
-    if (turns != turns_.end() && std::erase(turns->second, id) > 0 && turns->second.empty())
-      turns_.erase(turns);
+    if (std::erase(turns_[key], id); turns_[key].empty()) turns_.erase(key);
   }
 
   void pause(Message& m) { m.not_before = s_.now + s_.random.between(kPauseLeast, kPauseMost); }
--- a/src/state.h
+++ b/src/state.h
@@ -42,18 +42,16 @@
   Endpoint endpoint;
   Time sent = 0;
   uint64_t call = 0;
-  bool cancelled = false;
-  bool scout = false;  // sent to find an outage, or its end
-  Time idle = 0;       // how long its connection had been idle; 0: fresh or busy
+  bool cancelled = false, scout = false;  // scout: sent to find an outage, or its end
+  Time idle = 0;                          // how long its connection had been idle; 0: fresh or busy
 };
 
 struct Message : Arrival {  // its attempts, and whether one may have run, are counted on from its arrival
-  Time target = 0;          // until then it earns its full worth
+  Time target = 0, not_before = 0;  // target: until then it earns its full worth
   double worth = 0;
   bool out = false, withdrawn = false;
   bool repeat = false;       // the next send pays a token
   bool resumed_ran = false;  // before a restart, by a lost outcome: a client's retry might outlast its key
-  Time not_before = 0;
 };
 
 // What the rules tie to a destination: all its endpoints, or one where routes are apart.
