Use idle connections again where hosts close them within two seconds

Cause: the margin before a host's close was one second whatever the settings' figure: with conn_idle_s of 1 or less the pool was never used, and each call paid a new connection. reuse_for keeps the second for figures from two seconds on, and takes half of a smaller one.

Seen to fail with the old margin (tests/upstream_pool_test.cpp:13 and :30): IsUsedUntilShortlyBeforeItsHostsCloseIt, IsUsedWhereHostsCloseSoon. The other two tests of the file force ends of idle connections that held before.

--- a/relay/connection_pool.cpp
+++ b/relay/connection_pool.cpp
@@ -2,15 +2,11 @@
 
 #include <sys/socket.h>
 
-#include <algorithm>
-
 namespace firspool::relay {
 namespace {
 
 using Error = boost::system::error_code;
 
-constexpr Time kSecond = 1'000'000;
-constexpr Time kIdleMargin = kSecond;  // idle connections go so long before the host closes them
 constexpr size_t kMostPerHost = 64;
 
 }  // namespace
@@ -35,7 +31,7 @@
     --size_;
     Error gone;
     const bool same = last.socket.remote_endpoint(gone) == address && !gone;
-    const bool young = steady_now() - last.since < limits_.idle - kIdleMargin;
+    const bool young = steady_now() - last.since < reuse_for(limits_.idle);
     if (same && young && usable(last.socket)) return last;
   }
   return {};
@@ -52,7 +48,7 @@
   const Time now = steady_now();
   for (auto& [endpoint, list] : idle_) {
     size_ -= std::erase_if(list, [&](Idle& idle) {
-      return now - idle.since >= limits_.idle - kIdleMargin || !usable(idle.socket);
+      return now - idle.since >= reuse_for(limits_.idle) || !usable(idle.socket);
     });
   }
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
--- a/relay/connection_pool.h
+++ b/relay/connection_pool.h
@@ -1,6 +1,7 @@
 // Idle connections to hosts, kept to be used again until shortly before the host closes them.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
@@ -15,6 +16,10 @@
 // A closed or chattering peer shows in what can be read from a connection that should be silent.
 bool usable(tcp::socket& socket);
 
+// How long an idle connection may be used again whose host closes it after `idle`: a second less, of a
+// time under two seconds half.
+constexpr Time reuse_for(Time idle) { return idle - std::min(Time{1'000'000}, idle / 2); }
+
 class ConnectionPool {
  public:
   struct Limits {
