--- a/relay/connection_pool.cpp
+++ b/relay/connection_pool.cpp
@@ -11,18 +11,19 @@
 
 }  // namespace
 
-bool usable(tcp::socket& socket) {
+bool is_stale(tcp::socket& socket) {
   char byte = 0;
   const ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
-ConnectionPool::ConnectionPool(boost::asio::io_context& io, Limits limits) : limits_(limits), sweeper_(io) {
-  sweep();
+ConnectionPool::ConnectionPool(boost::asio::io_context& io, Limits limits)
+    : limits_(limits), evict_timer_(io) {
+  evict_stale();
 }
 
-std::optional<ConnectionPool::Idle> ConnectionPool::take(const Endpoint& endpoint,
-                                                         const tcp::endpoint& address) {
+std::optional<ConnectionPool::Idle> ConnectionPool::acquire(const Endpoint& endpoint,
+                                                            const tcp::endpoint& address) {
   const auto it = idle_.find(endpoint);
   if (it == idle_.end()) return {};
   while (!it->second.empty()) {
@@ -32,29 +33,29 @@
     Error gone;
     const bool same = last.socket.remote_endpoint(gone) == address && !gone;
     const bool young = steady_now() - last.since < reuse_for(limits_.idle);
-    if (same && young && usable(last.socket)) return last;
+    if (same && young && !is_stale(last.socket)) return last;
   }
   return {};
 }
 
-void ConnectionPool::keep(const Endpoint& endpoint, tcp::socket socket) {
+void ConnectionPool::release(const Endpoint& endpoint, tcp::socket socket) {
   std::vector<Idle>& list = idle_[endpoint];
   if (list.size() >= kMostPerHost || size_ >= limits_.most) return;
   list.push_back({std::move(socket), steady_now()});
   ++size_;
 }
 
-void ConnectionPool::sweep() {
+void ConnectionPool::evict_stale() {
   const Time now = steady_now();
   for (auto& [endpoint, list] : idle_) {
     size_ -= std::erase_if(list, [&](Idle& idle) {
-      return now - idle.since >= reuse_for(limits_.idle) || !usable(idle.socket);
+      return now - idle.since >= reuse_for(limits_.idle) || is_stale(idle.socket);
     });
   }
   std::erase_if(idle_, [](const auto& entry) { return entry.second.empty(); });
-  sweeper_.expires_after(std::chrono::milliseconds(250));
-  sweeper_.async_wait([this](const Error& error) {
-    if (!error) sweep();
+  evict_timer_.expires_after(std::chrono::milliseconds(250));
+  evict_timer_.async_wait([this](const Error& error) {
+    if (!error) evict_stale();
   });
 }
 
--- a/relay/connection_pool.h
+++ b/relay/connection_pool.h
@@ -14,7 +14,7 @@
 namespace firspool::relay {
 
 // A closed or chattering peer shows in what can be read from a connection that should be silent.
-bool usable(tcp::socket& socket);
+bool is_stale(tcp::socket& socket);
 
 // How long an idle connection may be used again whose host closes it after `idle`: a second less, of a
 // time under two seconds half.
@@ -34,18 +34,18 @@
   ConnectionPool(boost::asio::io_context& io, Limits limits);
 
   // The one that was used last of those that can be used; none: a new connection has to be made.
-  std::optional<Idle> take(const Endpoint& endpoint, const tcp::endpoint& address);
-  void keep(const Endpoint& endpoint, tcp::socket socket);  // closes it where there is no room
+  std::optional<Idle> acquire(const Endpoint& endpoint, const tcp::endpoint& address);
+  void release(const Endpoint& endpoint, tcp::socket socket);  // closes it where there is no room
   void close(const Endpoint& endpoint);
   void close_all();
   void retune(Limits limits) { limits_ = limits; }
   size_t size() const { return size_; }
 
  private:
-  void sweep();
+  void evict_stale();
 
   Limits limits_;
-  boost::asio::steady_timer sweeper_;
+  boost::asio::steady_timer evict_timer_;
   size_t size_ = 0;
   std::map<Endpoint, std::vector<Idle>> idle_;  // the most recently used last
 };
--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -24,7 +24,7 @@
 void Upstream::Exchange::start() {
   begun_ = steady_now();
   deadline_ = probe_ ? begun_ + call_.timeout : call_.budget.cap(begun_ + call_.timeout);
-  if (auto kept = owner_->pool_.take(call_.endpoint, call_.address)) {
+  if (auto kept = owner_->pool_.acquire(call_.endpoint, call_.address)) {
     socket_ = std::move(kept->socket);
     idle_for_ = begun_ - kept->since;
     arm(deadline_);
@@ -109,7 +109,7 @@
 }
 
 void Upstream::Exchange::push() {
-  if (!usable(socket_)) return broke(Break::kConnection);
+  if (is_stale(socket_)) return broke(Break::kConnection);
   Error error;
   socket_.non_blocking(true, error);
   if (!error) sent_ += socket_.write_some(boost::asio::buffer(request_) + sent_, error);
@@ -178,7 +178,7 @@
   const auto self = shared_from_this();
   owner_->exchanges_.erase(name());
   if (then == Then::kKeep) {
-    owner_->pool_.keep(call_.endpoint, std::move(socket_));
+    owner_->pool_.release(call_.endpoint, std::move(socket_));
   } else {
     Error ignored;
     socket_.close(ignored);
