Read each entry of a list for itself: one that is unreadable hides no other

parse_list() threw at the first entry with an address, phase, cell or id that it could not read, and what the list told of all others, drains too, was lost with it. The watch then asked again and got the same.

A host whose entry cannot be read counts as gone, since it may be leaving for all that is known, and what was known of it (its destination, for waits that its last calls are told) stays. locality and flavor may be missing. What names no host is passed over in a whole list; among changes one is missed, and the list counts as unreadable.

Seen to fail before, by the exceptions '... is not an address with a port', 'key cell not found', 'key id not found': the three tests of directory_test.cpp.

--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -6,6 +6,8 @@
 #include <stdexcept>
 #include <utility>
 
+#include "log.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -29,22 +31,43 @@
   return {address, port};
 }
 
+namespace {
+
+// What the protocol has for an entry that may be sent to. Throws std::exception where that is not there.
+void read_entry(const nlohmann::json& entry, const ListNames& names, ListedHost& host) {
+  host.address = parse_address(entry.at("host_port").get<std::string>());
+  const auto phase = entry.at("phase").get<std::string>();
+  host.member.zone = index_of(names.zones, entry.value("locality", ""));
+  host.member.kind = index_of(names.kinds, entry.value("flavor", ""));
+  host.member.destination = entry.at("cell").get<int>();
+  host.member.weight = entry.value("size", 0.0);
+  host.member.listing = phase == "active"    ? Listing::kReady
+                        : phase == "leaving" ? Listing::kDraining
+                                             : Listing::kGone;
+}
+
+}  // namespace
+
 HostList parse_list(const nlohmann::json& json, const ListNames& names) {
   HostList out;
   out.revision = json.at("revision").get<int64_t>();
   out.complete = json.at("complete").get<bool>();
   for (const auto& entry : json.at("members")) {
     ListedHost host;
-    host.id = entry.at("id").get<std::string>();
-    host.address = parse_address(entry.at("host_port").get<std::string>());
-    const auto phase = entry.at("phase").get<std::string>();
-    host.member.listing = phase == "active"    ? Listing::kReady
-                          : phase == "leaving" ? Listing::kDraining
-                                               : Listing::kGone;
-    host.member.zone = index_of(names.zones, entry.at("locality").get<std::string>());
-    host.member.kind = index_of(names.kinds, entry.at("flavor").get<std::string>());
-    host.member.destination = entry.at("cell").get<int>();
-    host.member.weight = entry.value("size", 0.0);
+    try {
+      host.id = entry.at("id").get<std::string>();
+    } catch (const std::exception&) {
+      if (!out.complete) throw;
+      continue;
+    }
+    try {
+      read_entry(entry, names, host);
+    } catch (const std::exception& fault) {
+      host.readable = false;
+      host.member.listing = Listing::kGone;
+      log_event(LogLevel::kWarning, "entry_unreadable",
+                "discovery: the entry of " + host.id + " cannot be read: " + fault.what(), {{"id", host.id}});
+    }
     host.text = entry.dump();
     out.hosts.push_back(std::move(host));
   }
@@ -66,7 +89,8 @@
     const Endpoint handle = place->second;
     ListedHost& host = hosts_[handle];
     const bool was_gone = !fresh && host.member.listing == Listing::kGone;
-    host = listed;
+    if (listed.readable || fresh) host = listed;
+    host.member.listing = listed.member.listing;
     host.member.endpoint = handle;
     if (host.member.listing == Listing::kGone && !was_gone) gone_.push_back(handle);
     members->push_back(host.member);
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -19,8 +19,9 @@
 struct ListedHost {
   std::string id;
   tcp::endpoint address;
-  Member member;     // its endpoint is filled in by the Directory
-  std::string text;  // the entry as it came
+  Member member;         // its endpoint is filled in by the Directory
+  std::string text;      // the entry as it came
+  bool readable = true;  // else it is gone, and what was known of it stays
 };
 
 struct HostList {
@@ -38,7 +39,9 @@
 // "127.0.0.1:80"; throws std::invalid_argument.
 tcp::endpoint parse_address(const std::string& text);
 
-// Throws std::exception on what is not a list.
+// An entry that cannot be read hides no other: its host counts as gone, since it may be leaving for all that
+// is known. What names no host is passed over in a whole list. Throws std::exception on what is not a list,
+// and where a list of changes names no host: one is missed then, and the whole list is due.
 HostList parse_list(const nlohmann::json& json, const ListNames& names);
 
 // A machine that takes over another's address has an id of its own, so handles stand for ids, not addresses.
