Ask for the whole list where a list could not be read

The watch asked again from the revision that is known, and got the same unreadable changes again, for ever: the relay stayed with old news. It asks with index=0 now until a list was read.

Seen to fail before: AsksForTheWholeListWhereChangesCannotBeRead, first is '...index=2' where '...index=0' is wanted.

--- a/relay/watch.cpp
+++ b/relay/watch.cpp
@@ -128,7 +128,7 @@
   enter(State::kAsk, kAnswer);
   asked_ = std::chrono::steady_clock::now();
   stream_ = std::make_shared<Stream>(*this);
-  stream_->start(revision_());
+  stream_->start(whole_ ? 0 : revision_());
 }
 
 void Watch::accepted() {
@@ -154,10 +154,12 @@
   try {
     if (!object.empty()) {
       told_(parse_list(nlohmann::json::parse(object), names_));
+      whole_ = false;
     }
   } catch (const std::exception& fault) {
     log_event(LogLevel::kWarning, "list_unreadable",
               std::string("discovery: a list cannot be read: ") + fault.what());
+    whole_ = true;
     return false;
   }
   asks_.heard();
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -71,6 +71,7 @@
   uint64_t entry_ = 0;  // counts the states entered
   std::chrono::steady_clock::time_point asked_;
   bool late_first_ = false;  // the last answer began with nothing for longer than kAnswer
+  bool whole_ = false;       // a list could not be read: what it told is asked for from the start
   int losses_ = 0;           // watches that were lost since a line was heard
   std::shared_ptr<Stream> stream_;
 };
--- a/tests/watch_test.cpp
+++ b/tests/watch_test.cpp
@@ -106,6 +106,23 @@
   EXPECT_TRUE(told(1));
 }
 
+// Asked for again from what is known, the changes that cannot be read would come for ever.
+TEST_F(WatchTest, AsksForTheWholeListWhereChangesCannotBeRead) {
+  open();
+  Socket agent = asked();
+  nlohmann::json nameless = member_json("s-1", "10.0.0.1:80", 7);
+  nameless.erase("id");
+  agent.send(kHead + chunk(list_json(2, true, {}).dump() + list_json(3, false, {nameless}).dump()));
+  std::string first;
+  agent = asked(listener_, &first);
+  EXPECT_EQ(first, "GET /api/targets?stream=1&index=0 HTTP/1.1");
+  agent.send(kHead + chunk(list_json(3, true, {nameless}).dump()));
+  ASSERT_TRUE(told(2));
+  agent.close();
+  asked(listener_, &first);
+  EXPECT_EQ(first, "GET /api/targets?stream=1&index=3 HTTP/1.1");
+}
+
 // Discovery answers at once: one that does not is asked again well inside the 6 s after which news counts as
 // told.
 TEST_F(WatchTest, AsksAnewSoonWhereNoAnswerComes) {
