Test that a call still connecting is not begun at a host told leaving or left

The connection that comes up late gets no byte and is closed once it has been idle; the message goes to its destination's other host.

--- /dev/null
+++ b/tests/watch_program_test.cpp
@@ -0,0 +1,69 @@
+// News that crosses a call, over loopback sockets.
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include "peers.h"
+
+namespace firspool::testing {
+namespace {
+
+// Its connections come up only once the test has taken the one that fills its queue.
+class SlowListener {
+ public:
+  SlowListener() {
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    listener_ = Socket(fd);
+    sockaddr_in at{};
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(::bind(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
+    EXPECT_EQ(::listen(fd, 0), 0);
+    filler_ = Socket::connect(listener_.port());
+  }
+  std::string address() const { return "127.0.0.1:" + std::to_string(listener_.port()); }
+  Socket accept_behind_the_filler() const {
+    listener_.accept();
+    pollfd waiting{listener_.fd(), POLLIN, 0};
+    EXPECT_GT(::poll(&waiting, 1, kDeadlineMs), 0);
+    return listener_.accept();
+  }
+
+ private:
+  Socket listener_;
+  Socket filler_;
+};
+
+class CrossingNews : public ::testing::TestWithParam<std::string> {};
+
+// The message waits for its connection when its host is told to be leaving, or gone: nothing is begun there.
+TEST_P(CrossingNews, ACallThatStillConnectsIsNotBegun) {
+  SlowListener slow;
+  Host other, witness;
+  Discovery discovery;
+  nlohmann::json config = config_json(discovery.address(), {member_json("s-1", slow.address(), 7)});
+  config["settings"]["bounds"]["connect_timeout_s"] = 10.0;
+  config["settings"]["bounds"]["conn_idle_s"] = 1.0;
+  Program program(config);
+  program.start();
+  Socket client = program.client();
+  const std::string facts = "c=keyed,d=60000,k=5c0f6e1a2b3d4c59,dest=";
+  for (const std::string& what :
+       {put_bytes("00000000000000a1", facts + "7"), put_bytes("00000000000000a2", facts + "8")}) {
+    client.send(what);
+    EXPECT_EQ(client.line(), "+OK");
+  }
+  discovery.tell(
+      list_json(2, false,
+                {member_json("s-1", slow.address(), 7, GetParam()), member_json("s-2", other.address(), 7),
+                 member_json("s-3", witness.address(), 8)}));
+  EXPECT_EQ(witness.next().headers.at("x-call-id"), "00000000000000a2");  // the news has been heard
+  Socket late = slow.accept_behind_the_filler();
+  EXPECT_TRUE(late.ended());  // without a byte
+  EXPECT_EQ(other.next().headers.at("x-call-id"), "00000000000000a1");
+}
+
+INSTANTIATE_TEST_SUITE_P(Phases, CrossingNews, ::testing::Values("leaving", "left"));
+
+}  // namespace
+}  // namespace firspool::testing
