Give a discovery that takes its time over each ask longer where lists are asked for

Reason: an ask had 0.8 s for its answer, always: a discovery that holds each head back for longer would be asked for ever and never heard (found by reading; watch.cpp: ask). Change: where lists have to be asked for, an ask after two that failed has 2 s (AskTimes::answer); where they are pushed the agent answers at once, and nothing changes.

--- a/relay/ask_times.cpp
+++ b/relay/ask_times.cpp
@@ -13,7 +13,8 @@
 
 }  // namespace
 
-AskTimes::AskTimes(const Settings& settings, uint64_t seed) : random_(seed), pushed_(kLongestPause) {
+AskTimes::AskTimes(const Settings& settings, uint64_t seed)
+    : random_(seed), pushed_(kLongestPause), slow_(settings.ask_for_list) {
   const milliseconds grace(settings.drain_grace / 1000);
   if (!settings.ask_for_list && grace.count() > 0) pushed_ = std::clamp(grace / 4, kFirstPause, pushed_);
   if (settings.relays <= kTogether) return;
--- a/relay/ask_times.h
+++ b/relay/ask_times.h
@@ -20,6 +20,8 @@
 //   has at its return counts at once.
 class AskTimes {
  public:
+  static constexpr std::chrono::milliseconds kAnswer{800};
+  static constexpr std::chrono::milliseconds kSlowAnswer{2000};
   static constexpr std::chrono::milliseconds kFirstTurn{2500};
   static constexpr std::chrono::milliseconds kLostPause{750};
   static constexpr std::chrono::milliseconds kLongestPause{1600};
@@ -28,6 +30,10 @@
 
   std::chrono::milliseconds first();  // after the start
   std::chrono::milliseconds again();  // after a lost watch, or an ask that was turned down
+  // For the answer to the next ask: where lists have to be asked for, one that failed twice gets longer, so
+  // that a discovery which takes its time over each is not asked for ever. A pushed list's agent answers at
+  // once.
+  std::chrono::milliseconds answer() const { return slow_ && failed_ > 2 ? kSlowAnswer : kAnswer; }
   void heard() { failed_ = 0; }
 
  private:
@@ -36,6 +42,7 @@
   std::mt19937_64 random_;
   std::chrono::milliseconds turn_{0};  // in which each relay asks once; 0: few enough to ask together
   std::chrono::milliseconds pushed_;   // the longest pause where news is pushed; else kLongestPause
+  bool slow_;                          // discovery may take its time: lists are asked for
   int failed_ = 0;                     // asks and watches, since one was heard
 };
 
--- a/relay/watch.cpp
+++ b/relay/watch.cpp
@@ -125,7 +125,7 @@
 
 void Watch::ask() {
   if (stream_) stream_->close();
-  enter(State::kAsk, kAnswer);
+  enter(State::kAsk, asks_.answer());
   asked_ = std::chrono::steady_clock::now();
   stream_ = std::make_shared<Stream>(*this);
   stream_->start(whole_ ? 0 : revision_());
@@ -149,7 +149,7 @@
 }
 
 bool Watch::heard(const std::string& object) {
-  if (state_ != State::kFollow) late_first_ = std::chrono::steady_clock::now() - asked_ > kAnswer;
+  if (state_ != State::kFollow) late_first_ = std::chrono::steady_clock::now() - asked_ > AskTimes::kAnswer;
   enter(State::kFollow, kSilence);
   try {
     if (!object.empty()) {
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -18,9 +18,10 @@
 // What a silent watch misses counts as told 6 s after it fell silent, and so does any change 6 s after
 // discovery had it, whatever became of an ask in between. A newline is due every 2 s. At worst, with one ask
 // that is refused, hangs or breaks:
-//   kSilence 2.75 s + pause 0.75 s + kAnswer 0.8 s + pause 0.75 s + kAnswer 0.8 s = 5.85 s.
-// kAnswer runs from before the connect to the first whole object: discovery answers at once. One that
-// accepts but says nothing before its first newline is given kSilence for it at the next ask.
+//   kSilence 2.75 s + pause 0.75 s + answer 0.8 s + pause 0.75 s + answer 0.8 s = 5.85 s.
+// The answer's time (AskTimes::answer) runs from before the connect to the first whole object: discovery
+// answers at once. One that accepts but says nothing before its first newline is given kSilence for it at the
+// next ask.
 class Watch {
  public:
   using Told = std::function<void(const HostList&)>;
@@ -41,7 +42,6 @@
   class Stream;
 
   static constexpr std::chrono::milliseconds kSilence{2750};
-  static constexpr std::chrono::milliseconds kAnswer{800};
 
   // What the one timer limits. Its end begins the next ask after a pause, and else ends the connection.
   enum class State {
@@ -70,7 +70,7 @@
   boost::asio::steady_timer timer_;
   uint64_t entry_ = 0;  // counts the states entered
   std::chrono::steady_clock::time_point asked_;
-  bool late_first_ = false;  // the last answer began with nothing for longer than kAnswer
+  bool late_first_ = false;  // the last answer began with nothing for longer than AskTimes::kAnswer
   bool whole_ = false;       // a list could not be read: what it told is asked for from the start
   int losses_ = 0;           // watches that were lost since a line was heard
   std::shared_ptr<Stream> stream_;
