Refuse a destination that no list can hold: bad clients' messages for it were taken on

Ruled out: other classes (refused), ids that came before (held already, +OK), bytes behind or missing. Change: a destination is 0 to 65,535.

--- a/relay/put.cpp
+++ b/relay/put.cpp
@@ -11,7 +11,8 @@
 namespace firspool::relay {
 namespace {
 
-constexpr size_t kMostName = 128;  // ids, keys and class names
+constexpr size_t kMostName = 128;             // ids, keys and class names
+constexpr int64_t kMostDestination = 65'535;  // as in a list's cells
 
 // Ids and keys become header lines and journal records: nothing that could break one passes.
 bool is_name(std::string_view text) {
@@ -56,7 +57,7 @@
     if (name == "t") out.tenant = value;
     if (name == "k") out.key = value;
     if (name == "d") life = 1000 * number(value, 1, Budget::kMost / 1000);
-    if (name == "dest") out.destination = static_cast<int>(number(value, 0, 1'000'000));
+    if (name == "dest") out.destination = static_cast<int>(number(value, 0, kMostDestination));
   }
   if (!is_name(out.message_class)) throw std::invalid_argument("unreadable class");
   if (!out.tenant.empty() && !is_name(out.tenant)) throw std::invalid_argument("unreadable tenant");
--- a/tests/clients_peers_test.cpp
+++ b/tests/clients_peers_test.cpp
@@ -1,5 +1,6 @@
 // Peers that do not speak the protocol, and that go.
 #include "clients_stage.h"
+#include "put.h"
 
 namespace firspool::relay {
 namespace {
@@ -146,5 +147,17 @@
   EXPECT_EQ(handed_.size(), 2u);
 }
 
+// A destination that no list can hold would be waited for until the message's time is over.
+TEST(Put, RefusesADestinationThatNoListCanHold) {
+  const auto destination = [](const std::string& dest) {
+    return parse_put({"MSG.PUT", "0", "a", "c=x,d=8000,dest=" + dest, ""}, 5'000'000).destination;
+  };
+  EXPECT_EQ(destination("0"), 0);
+  EXPECT_EQ(destination("65535"), 65535);
+  for (const std::string dest : {"65536", "70000", "1000000", "-1", "7x", ""}) {
+    EXPECT_THROW(destination(dest), std::invalid_argument) << dest;
+  }
+}
+
 }  // namespace
 }  // namespace firspool::relay
