End the loop behind the step of what was handed in just then

Reason: at the last moment of a planned end (relay.cpp: wait_for_end) the loop was stopped while a request read in that turn still waited for the module's step; its client's connection ended with no answer. Found by reading; the crossing lies inside one turn of the loop of the whole program and is not forced by a test. Change: the stop is posted behind the step.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -1,6 +1,7 @@
 #include "relay.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <span>
 
 #include "descriptors.h"
@@ -160,7 +161,10 @@
   if (handing_) tell_share();
   const bool idle =
       custody_.held().empty() && custody_.notices().empty() && (!clients_ || clients_->open() == 0);
-  if (age >= kLastCall || (closed_ && idle)) return io_.stop();
+  if (age >= kLastCall || (closed_ && idle)) {
+    // Behind the step of what was handed in just now: its answers are owed.
+    return boost::asio::post(io_, [this] { io_.stop(); });
+  }
   stop_timer_.expires_after(std::chrono::microseconds(kStopPoll));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) wait_for_end();
