Let few relays resume after an outage as before: the cold bound held for them already

Change: of so few relays (kSeen) each takes its pooled rate as the base and scouts as before, and none counts as rare.

--- a/src/limits.h
+++ b/src/limits.h
@@ -90,8 +90,9 @@
     return l.limit > 0 ? (own + l.limit / s_.set.relays) / 2 : own + kBaseLeast / s_.set.relays;
   }
 
-  // A rare caller sees one failure of an outage, and its repeat's: its calls ask for the end, one at a time.
-  bool rare(const Lane& l) const { return pooled_rate(l) * kHolders < 1; }
+  bool few() const { return s_.set.relays <= kSeen; }
+  // A rare caller of many sees one failure of an outage, and its repeat's: its calls ask for the end in turn.
+  bool rare(const Lane& l) const { return !few() && pooled_rate(l) * kHolders < 1; }
   bool scouting(const Lane& l) const { return l.out() || (l.hard > 0 && rare(l)); }
 
   // When this lane may be sent to; kNever: only after some outcome.
@@ -149,8 +150,8 @@
     const double capacity = s_.set.start_capacity + (1 - s_.set.start_capacity) * std::clamp(warm, 0.0, 1.0);
     const double know = knowing(l);
     const double budget = kColdMargin * s_.set.fall_multiple * capacity;
-    const double least = l.out() ? std::max(kScoutPart * budget * l.base, kScoutLeast / s_.set.relays) : 0;
-    return std::max(l.base * (budget - (1 - know)), least) / know;
+    const double least = std::max(kScoutPart * (few() ? 1 : budget) * l.base, kScoutLeast / s_.set.relays);
+    return std::max(l.base * (budget - (1 - know)), l.out() ? least : 0) / know;
   }
 
   static double reported(const std::vector<float>& report, int index, double otherwise) {
--- a/src/outages.h
+++ b/src/outages.h
@@ -111,7 +111,7 @@
   }
 
   void go_out(Lane& l, const char* evidence, bool suspected) {
-    l.base = limits_.own_part(l);
+    l.base = limits_.few() ? limits_.pooled_rate(l) : limits_.own_part(l);
     l.out_since = s_.now;
     l.back_since = l.unconnected = 0;
     l.suspected = suspected;
