Give the watch and the notices one timer of their states instead of one each

Reason: both had written the same timer: a count of states entered, against an end that is queued already, and a second look behind what came in time. Change: StateTimer owns both rules; the two say what follows. Behaviour stays.

--- a/relay/notices.cpp
+++ b/relay/notices.cpp
@@ -102,24 +102,6 @@
   if (state_ == State::kIdle) proceed();
 }
 
-void Notices::enter(State state, milliseconds limit) {
-  state_ = state;
-  ++entry_;
-  arm(limit, false);
-}
-
-// What came in time may be queued behind the timer's end, where the loop was busy: it is read first.
-void Notices::arm(milliseconds limit, bool again) {
-  timer_.expires_after(limit);
-  timer_.async_wait([this, entry = entry_, again](const Error& error) {
-    if (error || entry != entry_) return;  // its end was queued already when another state began
-    if (state_ == State::kPause) return proceed();
-    if (!again) return arm(milliseconds(0), true);
-    drop();
-    ended(Answer::kNone);
-  });
-}
-
 void Notices::drop() {
   if (post_) post_->close();
   post_.reset();
@@ -135,7 +117,6 @@
 
 void Notices::proceed() {
   timer_.cancel();
-  ++entry_;
   state_ = State::kIdle;
   out_ = 0;
   if (queue_.empty()) return;
@@ -147,13 +128,20 @@
     body += line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
   }
   if (!post_) post_ = std::make_shared<Post>(*this);
-  enter(State::kOut, times_.answer());
+  state_ = State::kOut;
+  timer_.set_behind_reads(times_.answer(), [this] {
+    drop();
+    ended(Answer::kNone);
+  });
   post_->send(body);
 }
 
 void Notices::ended(Answer answer) {
   if (post_ && !post_->reusable()) drop();
-  if (answer == Answer::kNone) return enter(State::kPause, times_.pause());
+  if (answer == Answer::kNone) {
+    state_ = State::kPause;
+    return timer_.set(times_.pause(), [this] { proceed(); });
+  }
   times_.answered();
   if (answer == Answer::kTaken) {
     for (; out_ > 0; --out_) settle();
--- a/relay/notices.h
+++ b/relay/notices.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <deque>
 #include <functional>
@@ -11,6 +10,7 @@
 
 #include "directory.h"
 #include "message.h"
+#include "state_timer.h"
 
 namespace firspool::relay {
 
@@ -55,8 +55,6 @@
   };
   enum class Answer { kTaken, kUnreadable, kNone };
 
-  void enter(State state, std::chrono::milliseconds limit);  // ends the state that it was in
-  void arm(std::chrono::milliseconds limit, bool again);
   void proceed();
   void drop();  // the connection
   void ended(Answer answer);
@@ -67,8 +65,7 @@
   Sent sent_;
   PostTimes times_;
   State state_ = State::kIdle;
-  boost::asio::steady_timer timer_;
-  uint64_t entry_ = 0;  // counts the states entered
+  StateTimer timer_;
   struct Owed {
     Notice notice;
     Time since = 0;
--- a/relay/watch.cpp
+++ b/relay/watch.cpp
@@ -102,17 +102,7 @@
 
 void Watch::enter(State state, milliseconds limit) {
   state_ = state;
-  ++entry_;
-  arm(limit, false);
-}
-
-// What came in time may be queued behind the timer's end, where the loop was busy: it is read first.
-void Watch::arm(milliseconds limit, bool again) {
-  timer_.expires_after(limit);
-  timer_.async_wait([this, entry = entry_, again](const Error& error) {
-    if (error || entry != entry_) return;  // its end was queued already when another state began
-    if (state_ == State::kPause) return ask();
-    if (!again) return arm(milliseconds(0), true);
+  timer_.set_behind_reads(limit, [this] {
     if (state_ == State::kAccepted) late_first_ = true;
     lost();
   });
@@ -120,7 +110,8 @@
 
 void Watch::pause(milliseconds length) {
   if (length.count() == 0) return ask();
-  enter(State::kPause, length);
+  state_ = State::kPause;
+  timer_.set(length, [this] { ask(); });
 }
 
 void Watch::ask() {
--- a/relay/watch.h
+++ b/relay/watch.h
@@ -2,13 +2,13 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "ask_times.h"
 #include "directory.h"
+#include "state_timer.h"
 
 namespace firspool::relay {
 
@@ -51,8 +51,7 @@
     kFollow,    // until the next one
   };
 
-  void enter(State state, std::chrono::milliseconds limit);  // ends the state that it was in
-  void arm(std::chrono::milliseconds limit, bool again);
+  void enter(State state, std::chrono::milliseconds limit);  // with a connection
   void pause(std::chrono::milliseconds length);
   void ask();
   void accepted();
@@ -67,8 +66,7 @@
   Told told_;
   std::function<void()> current_;
   State state_ = State::kPause;
-  boost::asio::steady_timer timer_;
-  uint64_t entry_ = 0;  // counts the states entered
+  StateTimer timer_;
   std::chrono::steady_clock::time_point asked_;
   bool late_first_ = false;  // the last answer began with nothing for longer than AskTimes::kAnswer
   bool whole_ = false;       // a list could not be read: what it told is asked for from the start
