--- a/relay/custody.h
+++ b/relay/custody.h
@@ -8,9 +8,9 @@
 #include <variant>
 
 #include "customer_rules.h"
-#include "discovery.h"
 #include "figures.h"
 #include "journal.h"
+#include "notices.h"
 #include "outcomes.h"
 #include "waits.h"
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -22,6 +22,7 @@
 #include "handover.h"
 #include "operator.h"
 #include "replies.h"
+#include "watch.h"
 
 namespace firspool::relay {
 
