--- a/relay/custody_resume.cpp
+++ b/relay/custody_resume.cpp
@@ -4,6 +4,7 @@
 namespace firspool::relay {
 
 void Custody::resume(const std::vector<Recovered>& entries, bool pause) {
+  bool limited = false;
   for (const Recovered& entry : entries) {
     if (entry.owed) {
       notices_.add(*entry.owed);
@@ -13,7 +14,7 @@
     Held& held = held_[number];
     held.handed = entry.message;
     held.handed.verdict = customers_.recorded(entry.verdict);
-    if (held.handed.verdict && !held.handed.verdict->limits.empty()) grant();
+    limited = limited || (held.handed.verdict && !held.handed.verdict->limits.empty());
     held.attempts = entry.attempts;
     held.since = steady_now();
     held.taken = true;
@@ -46,6 +47,7 @@
     }
     happened_(in);
   }
+  if (limited) grant();  // heard in the same step, before anything is decided
 }
 
 }  // namespace firspool::relay
