Leave the turns alone where an ended message has no key

Reason: the end of each message without a key added an entry to the turns and took it out again. Change: only one with a key leaves its turn.

--- a/src/messages.h
+++ b/src/messages.h
@@ -66,7 +66,7 @@
   }
 
   void end(const Message& m, bool given_up = false) {
-    if (!given_up || !m.keeps_turn) leave_turn(m.key, m.id);
+    if (m.key != 0 && !(given_up && m.keeps_turn)) leave_turn(m.key, m.id);
     s_.messages.erase(s_.messages.find(m.id));
   }
 
