--- a/tests/clients_closing_test.cpp
+++ b/tests/clients_closing_test.cpp
@@ -6,9 +6,6 @@
 
 using testing::put_bytes;
 
-constexpr Time kQuiet = 2'000'000;
-const std::string kPong = "+PONG\r\n";
-
 class ClientsClosing : public ClientsStage {
  protected:
   ClientsClosing() { serve({10, 100'000}); }
--- a/tests/clients_finish_test.cpp
+++ b/tests/clients_finish_test.cpp
@@ -10,9 +10,6 @@
 
 using testing::put_bytes;
 
-constexpr Time kQuiet = 2'000'000;
-const std::string kPong = "+PONG\r\n";
-
 class ClientsFinish : public ClientsStage {
  protected:
   ClientsFinish() { serve({10, 100'000}); }
--- a/tests/clients_stage.h
+++ b/tests/clients_stage.h
@@ -19,6 +19,8 @@
 
   static constexpr const char* kFacts = "c=safe,d=8000,dest=7";
   static constexpr const char* kPing = "*1\r\n$4\r\nPING\r\n";
+  static inline const std::string kPong = "+PONG\r\n";
+  static constexpr Time kQuiet = 2'000'000;  // a connection at rest is ended then
 
   void serve(Clients::Limits limits) {
     clients_ = std::make_unique<Clients>(
--- a/tests/journal_cut_test.cpp
+++ b/tests/journal_cut_test.cpp
@@ -53,6 +53,16 @@
     std::filesystem::create_directory(path().string() + ".new");
     journal.limit(bytes().size());
   }
+  // It has revision 1 and is full; of revision 2 there is room for the number, but not for what it stands
+  // for.
+  void learn_in_vain(Journal& journal, const std::string& drained) const {
+    journal.remember("host 1", "active");
+    journal.remember(Journal::kRevision, "1");
+    fill(journal);
+    journal.limit(bytes().size() + 60);
+    journal.remember("host 1", drained);
+    journal.remember(Journal::kRevision, "2");
+  }
   void make_room(Journal& journal) const {
     std::filesystem::remove(path().string() + ".new");
     journal.limit(kMost);
@@ -135,12 +145,7 @@
   const std::string drained(100, 'd');
   {
     Journal journal = open();
-    journal.remember("host 1", "active");
-    journal.remember(Journal::kRevision, "1");
-    fill(journal);
-    journal.limit(bytes().size() + 60);
-    journal.remember("host 1", drained);
-    journal.remember(Journal::kRevision, "2");
+    learn_in_vain(journal, drained);
   }
   std::filesystem::remove(path().string() + ".new");
   Journal journal = open();
@@ -152,12 +157,7 @@
   const std::string drained(100, 'd');
   {
     Journal journal = open();
-    journal.remember("host 1", "active");
-    journal.remember(Journal::kRevision, "1");
-    fill(journal);
-    journal.limit(bytes().size() + 60);
-    journal.remember("host 1", drained);
-    journal.remember(Journal::kRevision, "2");
+    learn_in_vain(journal, drained);
     make_room(journal);
     journal.remember("host 1", drained);  // as it was: nothing new is to be written
     journal.remember(Journal::kRevision, "2");
--- a/tests/sequence_test.cpp
+++ b/tests/sequence_test.cpp
@@ -31,6 +31,13 @@
     return request ? request->headers.at("x-call-id") : "";
   }
 
+  // The next connection, which carries a call of this message.
+  Socket connection_with(const std::string& id) {
+    Socket out = endpoint_.accept();
+    EXPECT_EQ(called(out), id);
+    return out;
+  }
+
   static void answer(Socket& connection) { connection.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"); }
 
   Socket endpoint_ = Socket::listen();
@@ -45,12 +52,10 @@
   program_.start();
   Socket client = program_.client();
   put(client, kKey, "00000000000000a1");
-  Socket first = endpoint_.accept();
-  EXPECT_EQ(called(first), "00000000000000a1");
+  Socket first = connection_with("00000000000000a1");
   put(client, kKey, "00000000000000a2");
   put(client, kOtherKey, "00000000000000b1");
-  Socket other = endpoint_.accept();
-  EXPECT_EQ(called(other), "00000000000000b1");
+  Socket other = connection_with("00000000000000b1");
   answer(first);
   EXPECT_EQ(called(first), "00000000000000a2");
 }
@@ -64,12 +69,10 @@
   program_.start();
   Socket client = program_.client();
   put(client, kKey, "00000000000000a1", "c=unsafe,d=60000,dest=7");
-  Socket first = endpoint_.accept();
-  EXPECT_EQ(called(first), "00000000000000a1");
+  Socket first = connection_with("00000000000000a1");
   put(client, kKey, "00000000000000a2", "c=unsafe,d=60000,dest=7");
   first.reset();  // it may have run, and cannot be sent again
-  Socket second = endpoint_.accept();
-  EXPECT_EQ(called(second), "00000000000000a2");
+  Socket second = connection_with("00000000000000a2");
   EXPECT_EQ(discovery_.refused(), 3);
   EXPECT_EQ(discovery_.notice()["id"], "00000000000000a1");
 }
@@ -78,28 +81,23 @@
   program_.start();
   Socket client = program_.client();
   put(client, kNoKey, "00000000000000a1");
-  Socket first = endpoint_.accept();
-  EXPECT_EQ(called(first), "00000000000000a1");
+  Socket first = connection_with("00000000000000a1");
   put(client, kNoKey, "00000000000000a2");
-  Socket second = endpoint_.accept();
-  EXPECT_EQ(called(second), "00000000000000a2");
+  Socket second = connection_with("00000000000000a2");
 }
 
 TEST_F(Sequence, OutlastsAKill) {
   program_.start();
   Socket client = program_.client();
   put(client, kKey, "00000000000000a1");
-  Socket lost = endpoint_.accept();
-  EXPECT_EQ(called(lost), "00000000000000a1");
+  Socket lost = connection_with("00000000000000a1");
   put(client, kKey, "00000000000000a2");
   program_.kill();
   program_.start();
   client = program_.client();
-  Socket first = endpoint_.accept();
-  EXPECT_EQ(called(first), "00000000000000a1");
+  Socket first = connection_with("00000000000000a1");
   put(client, kOtherKey, "00000000000000b1");
-  Socket other = endpoint_.accept();
-  EXPECT_EQ(called(other), "00000000000000b1");
+  Socket other = connection_with("00000000000000b1");
   answer(first);
   EXPECT_EQ(called(first), "00000000000000a2");
 }
