--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -16,9 +16,9 @@
 constexpr size_t kFixed = 224;        // of a message's record, beside its texts
 constexpr size_t kLateRoom = 64;      // messages that may still come after the last compaction
 
-bool write_all(int file, std::string_view bytes) {
+bool write_all(Disk& disk, int file, std::string_view bytes) {
   while (!bytes.empty()) {
-    const ssize_t done = ::write(file, bytes.data(), bytes.size());
+    const ssize_t done = disk.write(file, bytes.data(), bytes.size());
     if (done < 0 && errno == EINTR) continue;
     if (done <= 0) return false;
     bytes.remove_prefix(static_cast<size_t>(done));
@@ -28,20 +28,21 @@
 
 }  // namespace
 
-Journal::Journal(Place place, size_t most_file, Clock clock, size_t end_room)
-    : place_(std::move(place)),
+Journal::Journal(Place place, size_t most_file, Clock clock, size_t end_room, Disk& disk)
+    : disk_(disk),
+      place_(std::move(place)),
       path_(place_.journal()),
       fresh_path_(place_.fresh()),
       most_file_(most_file),
       clock_(std::move(clock)),
       reserve_(kReserve + end_room) {
-  file_ = ::open(path_.c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  file_ = disk_.open(path_, O_RDWR | O_CREAT | O_APPEND);
   if (file_ < 0) throw std::runtime_error("cannot open " + path_.string() + ": " + std::strerror(errno));
   const std::string bytes = read_file(path_);
   const Instant now = clock_();
   JournalContent content(bytes, now);
   size_ = content.whole;
-  if (size_ < bytes.size() && ::ftruncate(file_, static_cast<off_t>(size_)) != 0) {
+  if (size_ < bytes.size() && disk_.truncate(file_, size_) != 0) {
     throw std::runtime_error("cannot cut the torn tail of " + path_.string() + ": " + std::strerror(errno));
   }
   for (const auto& [name, value] : content.facts) keep_fact(name, value);
@@ -178,12 +179,12 @@
 bool Journal::write(std::string_view bytes) {
   if (size_ + bytes.size() > most_file_ && !frozen_ && compact()) return true;
   if (size_ + bytes.size() > most_file_) return false;
-  if (write_all(file_, bytes)) {
+  if (write_all(disk_, file_, bytes)) {
     size_ += bytes.size();
     return true;
   }
   // Part of a record would hide all that follows it from the next start.
-  if (::ftruncate(file_, static_cast<off_t>(size_)) != 0) return !frozen_ && compact();
+  if (disk_.truncate(file_, size_) != 0) return !frozen_ && compact();
   return false;
 }
 
@@ -194,11 +195,11 @@
   for (const auto& [number, record] : unlogged_) bytes += record;
   if (hits_.begun()) bytes += record::hits(hits_);
   if (bytes.size() > most_file_) return false;
-  const int fresh = ::open(fresh_path_.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
+  const int fresh = disk_.open(fresh_path_, O_RDWR | O_CREAT | O_TRUNC | O_APPEND);
   if (fresh < 0) return false;
-  if (!write_all(fresh, bytes) || ::rename(fresh_path_.c_str(), path_.c_str()) != 0) {
+  if (!write_all(disk_, fresh, bytes) || disk_.rename(fresh_path_, path_) != 0) {
     ::close(fresh);
-    ::unlink(fresh_path_.c_str());
+    disk_.unlink(fresh_path_);
     return false;
   }
   ::close(file_);
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "disk.h"
 #include "journal_records.h"
 #include "place.h"
 
@@ -19,7 +20,8 @@
   // Reads what is there, cuts a torn tail off and goes on behind it. Throws std::runtime_error if the file
   // cannot be used.
   // `end_room`: bytes that an end may need more, as it carries an outcome.
-  Journal(Place place, size_t most_file, Clock clock = instant_now, size_t end_room = 0);
+  Journal(Place place, size_t most_file, Clock clock = instant_now, size_t end_room = 0,
+          Disk& disk = system_disk());
   ~Journal();
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
@@ -90,6 +92,7 @@
   bool write(std::string_view bytes);
   bool compact();
 
+  Disk& disk_;
   Place place_;
   std::filesystem::path path_;
   std::filesystem::path fresh_path_;
