Write nothing behind a torn end in the folder, and start again where its files fail for a moment

The same shape in LastingFile::append and FeedFiles::append. A failed read counted as an empty file; Relay::adopt removed what another process left though it could not write all of it; the start threw where one call failed.

--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -2,12 +2,11 @@
 
 #include <algorithm>
 #include <cstdlib>
-#include <fstream>
-#include <iterator>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
 #include "config_policy.h"
+#include "lasting_file.h"
 #include "outcomes.h"
 
 namespace firspool::relay {
@@ -112,9 +111,9 @@
 }
 
 Config load_config(const std::string& path, const std::string& state) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) throw std::invalid_argument("cannot read " + path);
-  Config out = parse_config({std::istreambuf_iterator<char>(file), {}}, state);
+  const std::string text = read_file(path);
+  if (text.empty()) throw std::invalid_argument(path + " is empty or not there");
+  Config out = parse_config(text, state);
   out.path = path;
   // Two processes may share the file during an upgrade: what the environment says is this one's own.
   if (const char* own = std::getenv("PROXY_OPERATOR"); own != nullptr && *own != '\0') {
--- a/relay/custody.h
+++ b/relay/custody.h
@@ -29,7 +29,7 @@
   };
   using Happened = std::function<void(Event)>;  // for the module
 
-  // Throws std::runtime_error where the journal cannot be used.
+  // Throws DiskFault where the journal cannot be used.
   Custody(boost::asio::io_context& io, Place place, size_t most_file, const Settings& settings,
           const umberhoist::access::Rules& rules, const tcp::endpoint& discovery, const ToldWaits& waits,
           Happened happened, size_t end_room = 0);
@@ -53,6 +53,8 @@
   std::string decided(uint64_t number, const Action* away, bool shut = false);
   // Messages from before a restart, or from another process, are the module's to decide on, like any other.
   void resume(const std::vector<Recovered>& entries, bool pause = false);
+  // Those for which this process has no room end at once, by a notice.
+  void give_back(const std::vector<Recovered>& entries);
 
   // Null: it is over.
   Held* find(uint64_t number);
--- a/relay/custody_resume.cpp
+++ b/relay/custody_resume.cpp
@@ -50,4 +50,12 @@
   if (limited) grant();  // heard in the same step, before anything is decided
 }
 
+void Custody::give_back(const std::vector<Recovered>& entries) {
+  for (const Recovered& entry : entries) {
+    const std::string& id = entry.message.id;
+    const bool untouched = entry.unsettled.empty();
+    notices_.add(entry.owed ? *entry.owed : Notice{id, untouched, 0});
+  }
+}
+
 }  // namespace firspool::relay
--- a/relay/feed_files.cpp
+++ b/relay/feed_files.cpp
@@ -50,15 +50,22 @@
 }
 
 bool FeedFiles::append(std::string_view bytes) {
-  const int fd = torn_ ? -1 : open(Part::kBack, O_RDWR | O_APPEND);
+  const int fd = open(Part::kBack, O_RDWR | O_APPEND);
+  if (fd < 0 || (torn_at_ && !cut_off(fd))) return false;
   struct stat now {};
-  if (fd < 0 || ::fstat(fd, &now) != 0) return false;
-  const ssize_t written = ::write(fd, bytes.data(), bytes.size());
-  if (written == static_cast<ssize_t>(bytes.size())) return true;
-  torn_ = written > 0 && ::ftruncate(fd, now.st_size) != 0;
+  if (::fstat(fd, &now) != 0) return false;
+  if (write_all(system_disk(), fd, bytes)) return true;
+  torn_at_ = static_cast<size_t>(now.st_size);
+  cut_off(fd);
   return false;
 }
 
+bool FeedFiles::cut_off(int fd) {
+  if (system_disk().truncate(fd, *torn_at_) != 0) return false;
+  torn_at_.reset();
+  return true;
+}
+
 bool FeedFiles::cut(size_t size) {
   return ::truncate(paths_[at(Part::kBack)].c_str(), static_cast<off_t>(size)) == 0;
 }
@@ -67,14 +74,14 @@
   close(Part::kBack);
   LastingFile file(paths_[at(Part::kBack)].string());
   if (!file.replace(std::string(head))) return false;
-  torn_ = false;
+  torn_at_.reset();
   return true;
 }
 
 bool FeedFiles::promote() {
   close(Part::kFront);
   close(Part::kBack);
-  return !torn_ && ::rename(paths_[at(Part::kBack)].c_str(), paths_[at(Part::kFront)].c_str()) == 0;
+  return !torn_at_ && ::rename(paths_[at(Part::kBack)].c_str(), paths_[at(Part::kFront)].c_str()) == 0;
 }
 
 bool FeedFiles::drop_front() {
--- a/relay/feed_files.h
+++ b/relay/feed_files.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <filesystem>
+#include <optional>
 
 #include "../feeds/outcome_log.h"
 
@@ -32,10 +33,11 @@
  private:
   int open(Part part, int flags);
   void close(Part part);
+  bool cut_off(int fd);
 
   std::filesystem::path paths_[2];  // by part
   int fds_[2] = {-1, -1};
-  bool torn_ = false;  // the back ends in what could not be cut off: nothing may follow
+  std::optional<size_t> torn_at_;  // the back ends there in what could not be cut off: nothing may follow
 };
 
 }  // namespace firspool::relay
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -4,9 +4,8 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <cstring>
-#include <stdexcept>
 
+#include "disk_faults.h"
 #include "lasting_file.h"
 
 namespace firspool::relay {
@@ -16,16 +15,6 @@
 constexpr size_t kFixed = 224;        // of a message's record, beside its texts
 constexpr size_t kLateRoom = 64;      // messages that may still come after the last compaction
 
-bool write_all(Disk& disk, int file, std::string_view bytes) {
-  while (!bytes.empty()) {
-    const ssize_t done = disk.write(file, bytes.data(), bytes.size());
-    if (done < 0 && errno == EINTR) continue;
-    if (done <= 0) return false;
-    bytes.remove_prefix(static_cast<size_t>(done));
-  }
-  return true;
-}
-
 }  // namespace
 
 Journal::Journal(Place place, size_t most_file, Clock clock, size_t end_room, Disk& disk)
@@ -35,16 +24,16 @@
       fresh_path_(place_.fresh()),
       most_file_(most_file),
       clock_(std::move(clock)),
-      reserve_(kReserve + end_room) {
-  file_ = disk_.open(path_, O_RDWR | O_CREAT | O_APPEND);
-  if (file_ < 0) throw std::runtime_error("cannot open " + path_.string() + ": " + std::strerror(errno));
-  const std::string bytes = read_file(path_);
+      reserve_(kReserve + end_room),
+      file_(disk) {
+  const int file = disk_.open(path_, O_RDWR | O_CREAT | O_APPEND);
+  if (file < 0) throw DiskFault(kFileUnwritable, path_, "cannot be opened", errno);
+  file_.begin(file, 0, false);
+  const std::string bytes = read_file(path_, disk_);
   const Instant now = clock_();
   JournalContent content(bytes, now);
-  size_ = content.whole;
-  if (size_ < bytes.size() && disk_.truncate(file_, size_) != 0) {
-    throw std::runtime_error("cannot cut the torn tail of " + path_.string() + ": " + std::strerror(errno));
-  }
+  // What a process killed in a write left behind the last whole record is cut off before anything is written.
+  file_.resume(content.whole, content.whole < bytes.size());
   for (const auto& [name, value] : content.facts) keep_fact(name, value);
   for (const Ended& ended : content.ended) keep(ended);
   ended_ = std::move(content.ended);
@@ -64,8 +53,6 @@
   append(id, record::restated(id, clock_(), entry.message.budget.due()));
 }
 
-Journal::~Journal() { ::close(file_); }
-
 void Journal::limit(size_t most_file) {
   most_file_ = most_file;
   frozen_ = false;
@@ -73,7 +60,7 @@
 
 size_t Journal::freeze() {
   compact();
-  most_file_ = std::min(most_file_, size_ + (places_.size() + kLateRoom) * reserve_);
+  most_file_ = std::min(most_file_, file_.size() + (places_.size() + kLateRoom) * reserve_);
   frozen_ = true;
   return most_file_;
 }
@@ -177,15 +164,11 @@
 
 // The live records already hold what is written here, so a compaction writes it too.
 bool Journal::write(std::string_view bytes) {
-  if (size_ + bytes.size() > most_file_ && !frozen_ && compact()) return true;
-  if (size_ + bytes.size() > most_file_) return false;
-  if (write_all(disk_, file_, bytes)) {
-    size_ += bytes.size();
-    return true;
-  }
-  // Part of a record would hide all that follows it from the next start.
-  if (disk_.truncate(file_, size_) != 0) return !frozen_ && compact();
-  return false;
+  if (file_.size() + bytes.size() > most_file_ && !frozen_ && compact()) return true;
+  if (file_.size() + bytes.size() > most_file_) return false;
+  if (file_.append(bytes)) return true;
+  // Nothing can follow a torn end, but a compaction leaves it behind.
+  return file_.torn() && !frozen_ && compact();
 }
 
 bool Journal::compact() {
@@ -202,9 +185,7 @@
     disk_.unlink(fresh_path_);
     return false;
   }
-  ::close(file_);
-  file_ = fresh;
-  size_ = bytes.size();
+  file_.begin(fresh, bytes.size(), false);
   hits_owed_ = facts_owed_ = false;
   return true;
 }
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -1,4 +1,8 @@
-// What was taken on, on disk: an append-only file of checksummed records that outlasts the process.
+// What was accepted, on disk: an append-only file of checksummed records that outlasts the process.
+//
+// Promised: where a call answers true, its record is read by the next start, whatever fails or is killed
+// after it; where it answers false, it is not, but for ends and proofs that an attempt never ran, which a
+// later compaction may still write. AppendFile has the order of failures.
 #pragma once
 
 #include <filesystem>
@@ -9,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "disk.h"
+#include "append_file.h"
 #include "journal_records.h"
 #include "place.h"
 
@@ -17,14 +21,11 @@
 
 class Journal {
  public:
-  // Reads what is there, cuts a torn tail off and goes on behind it. Throws std::runtime_error if the file
-  // cannot be used.
-  // `end_room`: bytes that an end may need more, as it carries an outcome.
+  // Reads what is there, and goes on behind its last whole record. Throws DiskFault where the file cannot be
+  // opened or read. Where it cannot be written, what was read is owed all the same, and nothing new is
+  // accepted. `end_room`: bytes that an end may need more, as it carries an outcome.
   Journal(Place place, size_t most_file, Clock clock = instant_now, size_t end_room = 0,
           Disk& disk = system_disk());
-  ~Journal();
-  Journal(const Journal&) = delete;
-  Journal& operator=(const Journal&) = delete;
 
   // What was there at the start, in the order in which it was taken on; once.
   std::vector<Recovered> recovered() { return std::exchange(recovered_, {}); }
@@ -36,9 +37,14 @@
   size_t freeze();
   // A message's records, as adopt() reads them.
   std::string records(const std::string& id) const;
-  // Takes over another process's records, but for messages that are here already or are to be skipped; what
-  // cannot be written is not taken. Facts only where they are newer.
-  std::vector<Recovered> adopt(std::string_view bytes, const std::set<std::string>& skip = {});
+  struct Adopted {
+    std::vector<Recovered> taken;         // written here
+    std::vector<Recovered> without_room;  // for which this file has no room
+    bool failed = false;  // others could not be written now: the same bytes are to be adopted again
+  };
+  // Takes over another process's records, but for messages that are here already or are to be skipped. Facts
+  // only where they are newer.
+  Adopted adopt(std::string_view bytes, const std::set<std::string>& skip = {});
   // The outcomes that ends carried, in the file as it was at the start (once) or in other records.
   std::vector<Ended> ended() { return std::exchange(ended_, {}); }
   std::vector<Ended> ended_in(std::string_view bytes) const { return JournalContent(bytes, clock_()).ended; }
@@ -85,6 +91,7 @@
 
   void keep_fact(const std::string& name, const std::string& value);
   void restate(const Recovered& entry);
+  bool adopt(const JournalContent::Entry& entry);
   bool counts();
   void keep(const Ended& ended);
   bool fits(size_t bytes) const;
@@ -100,8 +107,7 @@
   Clock clock_;
   size_t reserve_;  // for a message's attempts and its end
   bool frozen_ = false;
-  int file_ = -1;
-  size_t size_ = 0;
+  AppendFile file_;
   size_t live_bytes_ = 0;
   uint64_t order_ = 0;
   std::map<std::string, uint64_t> places_;    // live messages, in the order they came
--- a/relay/journal_adopt.cpp
+++ b/relay/journal_adopt.cpp
@@ -3,7 +3,7 @@
 
 namespace firspool::relay {
 
-std::vector<Recovered> Journal::adopt(std::string_view bytes, const std::set<std::string>& skip) {
+Journal::Adopted Journal::adopt(std::string_view bytes, const std::set<std::string>& skip) {
   const Instant now = clock_();
   JournalContent content(bytes, now);
   const auto revision = [](const std::map<std::string, std::string>& facts) {
@@ -13,20 +13,18 @@
   if (revision(content.facts) > revision(remembered_)) {
     for (const auto& [name, value] : content.facts) remember(name, value);
   }
-  std::vector<Recovered> out;
+  Adopted out;
   for (auto& [place_there, entry] : content.messages) {
     const std::string& id = entry.what.message.id;
     if (places_.contains(id) || skip.contains(id)) continue;
-    places_[id] = ++order_;
-    live_[order_] = entry.records_elsewhere();
-    if (!write(live_[order_])) {
-      live_.erase(order_);
-      places_.erase(id);
-      continue;
+    if (adopt(entry)) {
+      if (entry.told.boot != now.boot) restate(entry.what);
+      out.taken.push_back(std::move(entry.what));
+    } else if (live_bytes() + entry.records.size() > most_file_) {
+      out.without_room.push_back(std::move(entry.what));
+    } else {
+      out.failed = true;
     }
-    live_bytes_ += live_[order_].size() + reserve_;
-    if (entry.told.boot != now.boot) restate(entry.what);
-    out.push_back(std::move(entry.what));
   }
   if (hits_.fold(content.hits)) {
     hits_owed_ = true;
@@ -35,6 +33,19 @@
   return out;
 }
 
+bool Journal::adopt(const JournalContent::Entry& entry) {
+  const std::string& id = entry.what.message.id;
+  places_[id] = ++order_;
+  live_[order_] = entry.records_elsewhere();
+  if (!write(live_[order_])) {
+    live_.erase(order_);
+    places_.erase(id);
+    return false;
+  }
+  live_bytes_ += live_[order_].size() + reserve_;
+  return true;
+}
+
 std::vector<Recovered> Journal::read(std::string_view bytes) const {
   JournalContent content(bytes, clock_());
   std::vector<Recovered> out;
--- a/relay/journal_hits.cpp
+++ b/relay/journal_hits.cpp
@@ -9,6 +9,7 @@
 
 #include "../access/verdict_record.h"
 #include "../fleet/reading.h"
+#include "disk_faults.h"
 #include "lasting_file.h"
 
 namespace firspool::relay {
@@ -80,7 +81,12 @@
   const auto read = [&]() -> uint64_t {
     std::error_code failed;
     if (!std::filesystem::is_regular_file(path, failed)) return 0;
-    const std::string text = read_file(path);
+    std::string text;
+    try {
+      text = read_file(path);
+    } catch (const DiskFault&) {
+      return 0;
+    }
     uint64_t out = 0;
     const auto [end, bad] = std::from_chars(text.data(), text.data() + text.size(), out, 16);
     return bad == std::errc() ? out : 0;
--- a/relay/lasting_file.cpp
+++ b/relay/lasting_file.cpp
@@ -4,58 +4,77 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
-#include <fstream>
-#include <iterator>
-#include <utility>
+#include <array>
+#include <cerrno>
+
+#include "disk_faults.h"
 
 namespace firspool::relay {
+namespace {
+
+constexpr size_t kBlock = 64 * 1024;
+
+// Keeps errno as the failed call left it.
+void close_quietly(int file) {
+  const int error = errno;
+  ::close(file);
+  errno = error;
+}
 
-std::string read_file(const std::filesystem::path& path) {
-  std::ifstream in(path, std::ios::binary);
-  return {std::istreambuf_iterator<char>(in), {}};
+bool read_all(Disk& disk, int file, std::string& out) {
+  std::array<char, kBlock> block;
+  while (true) {
+    const ssize_t got = disk.read(file, block.data(), block.size());
+    if (got == 0) return true;
+    if (got > 0) {
+      out.append(block.data(), static_cast<size_t>(got));
+    } else if (errno != EINTR) {
+      return false;
+    }
+  }
 }
 
-LastingFile::~LastingFile() {
-  if (fd_ >= 0) ::close(fd_);
+}  // namespace
+
+std::string read_file(const std::filesystem::path& path, Disk& disk) {
+  const int file = disk.open(path, O_RDONLY);
+  if (file < 0 && errno == ENOENT) return {};
+  if (file < 0) throw DiskFault(kFileUnreadable, path, "cannot be opened", errno);
+  std::string out;
+  const bool whole = read_all(disk, file, out);
+  close_quietly(file);
+  if (!whole) throw DiskFault(kFileUnreadable, path, "cannot be read", errno);
+  return out;
 }
 
-std::string LastingFile::read() const { return read_file(path_); }
+std::string LastingFile::read() const { return read_file(path_, disk_); }
 
 bool LastingFile::open() {
-  if (fd_ >= 0) return true;
-  fd_ = ::open(path_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  if (file_.is_open()) return true;
+  const int file = disk_.open(path_, O_WRONLY | O_CREAT | O_APPEND);
+  if (file < 0) return false;
   struct stat now {};
-  if (fd_ < 0 || ::fstat(fd_, &now) != 0) return false;
-  size_ = static_cast<size_t>(now.st_size);
+  if (::fstat(file, &now) != 0) {
+    ::close(file);
+    return false;
+  }
+  file_.begin(file, static_cast<size_t>(now.st_size), false);
   return true;
 }
 
-bool LastingFile::append(const std::string& bytes) {
-  if (!open()) return false;
-  const ssize_t written = ::write(fd_, bytes.data(), bytes.size());
-  if (written == static_cast<ssize_t>(bytes.size())) {
-    size_ += bytes.size();
-    return true;
-  }
-  if (written > 0 && ::ftruncate(fd_, static_cast<off_t>(size_)) != 0) {
-    ::close(std::exchange(fd_, -1));  // its end is torn: whoever reads it next cuts that off
-  }
-  return false;
-}
+bool LastingFile::append(const std::string& bytes) { return open() && file_.append(bytes); }
 
 bool LastingFile::replace(const std::string& bytes) {
   const std::string fresh = path_ + ".new";
-  std::ofstream out(fresh, std::ios::binary | std::ios::trunc);
-  out << bytes;
-  out.close();
-  std::error_code failed;
-  if (out) std::filesystem::rename(fresh, path_, failed);
-  if (!out || failed) {
-    std::filesystem::remove(fresh, failed);
+  const int file = disk_.open(fresh, O_WRONLY | O_CREAT | O_TRUNC | O_APPEND);
+  if (file < 0) return false;
+  if (!write_all(disk_, file, bytes) || disk_.rename(fresh, path_) != 0) {
+    ::close(file);
+    disk_.unlink(fresh);
     return false;
   }
-  if (fd_ >= 0) ::close(std::exchange(fd_, -1));
-  return open();
+  file_.begin(file, bytes.size(), false);
+  return true;
 }
 
 }  // namespace firspool::relay
--- a/relay/lasting_file.h
+++ b/relay/lasting_file.h
@@ -4,35 +4,35 @@
 #include <cstddef>
 #include <filesystem>
 #include <string>
-#include <utility>
+
+#include "append_file.h"
 
 namespace firspool::relay {
 
-// All bytes of a file; none where it cannot be read.
-std::string read_file(const std::filesystem::path& path);
+// All bytes of a file; none where there is no such file. Throws DiskFault where it cannot be read.
+std::string read_file(const std::filesystem::path& path, Disk& disk = system_disk());
 
 // A file of records, opened at the first of them that is appended.
 class LastingFile {
  public:
-  explicit LastingFile(std::string path) : path_(std::move(path)) {}
-  ~LastingFile();
+  explicit LastingFile(std::string path, Disk& disk = system_disk())
+      : path_(std::move(path)), disk_(disk), file_(disk) {}
   LastingFile(const LastingFile&) = delete;
   LastingFile& operator=(const LastingFile&) = delete;
 
   std::string read() const;
-  // False: it could not be written, and none of the bytes is left there; where they could not be cut off, its
-  // end is torn.
+  // False: it could not be written, and counts for nothing (see AppendFile).
   bool append(const std::string& bytes);
   // All of it anew. False: the file is as it was, or cannot be appended to.
   bool replace(const std::string& bytes);
-  size_t size() const { return size_; }  // bytes, once it was written to
+  size_t size() const { return file_.size(); }  // bytes, once it was written to
 
  private:
   bool open();
 
   std::string path_;
-  int fd_ = -1;
-  size_t size_ = 0;
+  Disk& disk_;
+  AppendFile file_;
 };
 
 }  // namespace firspool::relay
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -2,11 +2,14 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <exception>
+#include <thread>
 
 #include "config.h"
+#include "disk_faults.h"
 #include "log.h"
 #include "relay.h"
 
@@ -15,6 +18,9 @@
 using firspool::relay::LogFormat;
 using firspool::relay::LogLevel;
 
+constexpr std::chrono::seconds kStartPatience{20};  // a relay has 30 s to be ready
+constexpr std::chrono::milliseconds kStartPause{50};
+
 struct Arguments {
   std::string config;
   std::string state;
@@ -69,6 +75,38 @@
   });
 }
 
+// Serves until a planned end.
+void serve(const Arguments& given) {
+  boost::asio::io_context io(1);
+  boost::asio::signal_set ends(io, SIGTERM, SIGINT);
+  boost::asio::signal_set changes(io, SIGHUP);
+  firspool::relay::Relay relay(
+      io, firspool::relay::under_stored_policy(firspool::relay::load_config(given.config, given.state)),
+      [](const auto& address) {
+        const std::string at = address.address().to_string() + ":" + std::to_string(address.port());
+        firspool::relay::log_info("listening", "listening on " + at, {{"address", at}});
+      });
+  ends.async_wait([&relay](const boost::system::error_code& error, int) {
+    if (!error) relay.stop();
+  });
+  follow_changes(changes, relay);
+  io.run();
+}
+
+// Files that fail for a moment end no process: what they hold is owed, and a start has time to be ready.
+void serve_with_retries(const Arguments& given) {
+  const auto until = std::chrono::steady_clock::now() + kStartPatience;
+  while (true) {
+    try {
+      return serve(given);
+    } catch (const firspool::relay::DiskFault& fault) {
+      if (!fault.may_pass() || std::chrono::steady_clock::now() >= until) throw;
+      firspool::relay::log_event(LogLevel::kWarning, "start_again", fault.line(), {{"reason", fault.code()}});
+    }
+    std::this_thread::sleep_for(kStartPause);
+  }
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -79,20 +117,7 @@
   try {
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGXFSZ, SIG_IGN);  // a file that may not grow is a write that failed
-    boost::asio::io_context io(1);
-    boost::asio::signal_set ends(io, SIGTERM, SIGINT);
-    boost::asio::signal_set changes(io, SIGHUP);
-    firspool::relay::Relay relay(
-        io, firspool::relay::under_stored_policy(firspool::relay::load_config(given.config, given.state)),
-        [](const auto& address) {
-          const std::string at = address.address().to_string() + ":" + std::to_string(address.port());
-          firspool::relay::log_info("listening", "listening on " + at, {{"address", at}});
-        });
-    ends.async_wait([&relay](const boost::system::error_code& error, int) {
-      if (!error) relay.stop();
-    });
-    follow_changes(changes, relay);
-    io.run();
+    serve_with_retries(given);
     return 0;
   } catch (const std::exception& error) {
     firspool::relay::log_event(LogLevel::kError, "ended", std::string("umberhoist: ") + error.what(),
--- a/relay/place.cpp
+++ b/relay/place.cpp
@@ -5,10 +5,9 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <cstring>
-#include <stdexcept>
 #include <utility>
 
+#include "disk_faults.h"
 #include "lasting_file.h"
 
 namespace firspool::relay {
@@ -24,9 +23,12 @@
 std::optional<Place> Place::take(const std::filesystem::path& folder, int number) {
   const auto path = numbered(folder / "lock", number);
   const int file = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-  if (file < 0) throw std::runtime_error("cannot open " + path.string() + ": " + std::strerror(errno));
+  if (file < 0) throw DiskFault(kFileUnwritable, path, "cannot be opened", errno);
   Place out(folder, number, file);
-  if (::flock(file, LOCK_EX | LOCK_NB) != 0) return {};
+  int locked = ::flock(file, LOCK_EX | LOCK_NB);
+  while (locked != 0 && errno == EINTR) locked = ::flock(file, LOCK_EX | LOCK_NB);
+  if (locked != 0 && errno == EWOULDBLOCK) return {};
+  if (locked != 0) throw DiskFault(kFileUnwritable, path, "cannot be locked", errno);
   std::error_code ignored;
   std::filesystem::remove(out.fresh(), ignored);
   return out;
@@ -55,9 +57,10 @@
 
 std::string Place::read() const { return read_file(journal()); }
 
-void Place::remove() const {
-  std::error_code ignored;
-  std::filesystem::remove(journal(), ignored);
+bool Place::remove() const {
+  std::error_code failed;
+  std::filesystem::remove(journal(), failed);
+  return !failed;
 }
 
 }  // namespace firspool::relay
--- a/relay/place.h
+++ b/relay/place.h
@@ -13,7 +13,7 @@
  public:
   static constexpr int kPlaces = 2;  // a process and its successor
 
-  // Nothing: another process has it. Throws std::runtime_error if the folder cannot be used.
+  // Nothing: another process has it. Throws DiskFault where the folder cannot be used.
   static std::optional<Place> take(const std::filesystem::path& folder, int number);
   Place(Place&& other) noexcept;
   Place& operator=(Place&& other) noexcept;
@@ -22,9 +22,9 @@
   int number() const { return number_; }
   std::filesystem::path journal() const;
   std::filesystem::path fresh() const;  // the journal's next file while it is compacted
-  // What another process left here: read once, then removed.
+  // What another process left here: read, then removed. read() throws DiskFault; false: it is there still.
   std::string read() const;
-  void remove() const;
+  bool remove() const;
 
  private:
   Place(std::filesystem::path folder, int number, int lock);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -5,6 +5,7 @@
 #include <span>
 
 #include "descriptors.h"
+#include "disk_faults.h"
 #include "known.h"
 #include "log.h"
 
@@ -33,6 +34,7 @@
       wake_timer_(io),
       stop_timer_(io),
       report_timer_(io),
+      reload_timer_(io),
       upstream_(
           io, upstream_limits(config), config.report_fields,
           [this](const Call& call) { return may_start(call); },
@@ -60,7 +62,10 @@
                       [this](const std::string& call) { return replies_.to(call); });
   }
   waiting_ = custody_.journal().recovered();
-  if (standing_.left) adopt(*std::exchange(standing_.left, {}));
+  if (standing_.left && !adopt(*standing_.left)) {
+    throw DiskFault(kFileUnwritable, standing_.left->journal(), "cannot be taken over", EIO);
+  }
+  standing_.left.reset();
   show_access();
   if (!budgets_) custody_.divide_limits(config_.settings.relays);
   told(config_.known);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -82,6 +82,8 @@
   // The rules that hold, its own and the fleet's (rules.cpp).
   void share_budgets();
   void join_fleet();
+  bool reload_later();
+  void reload_now();
   void take(Config next);
   void show_access();
   std::string fenced_line();
@@ -89,8 +91,10 @@
   // Upgrade: as the successor of another process (upgrade_successor.cpp),
   static Standing take_places(const std::filesystem::path& folder);
   size_t file_limit() const;
-  void adopt(Place left);
+  bool adopt(const Place& left);
+  bool adopt_while_running(const Place& left);
   void succeed();
+  void succeed_later();
   void heard_as_successor(Word word, const std::string& text);
   void take_share(const std::string& text);
   void apply_share();
@@ -122,12 +126,15 @@
   boost::asio::steady_timer wake_timer_;
   boost::asio::steady_timer stop_timer_;
   boost::asio::steady_timer report_timer_;
+  boost::asio::steady_timer reload_timer_;
+  int reload_tries_ = 0;              // of a configuration that cannot be read, since its signal
   Time stopping_since_ = 0;           // 0: not stopping
   bool closed_ = false;               // clients were let go
   bool handing_ = false;              // to a successor
   std::string told_share_;            // to a successor, last
   std::set<std::string> taken_over_;  // from a predecessor: its journal may name them still
   std::vector<Recovered> waiting_;    // from before: resumed once this process serves
+  std::vector<Recovered> adopted_;    // of what another process left: waits until all of that is written here
   std::shared_ptr<Link> link_;        // to the other process
   Upstream upstream_;
   Replies replies_;
--- a/relay/rules.cpp
+++ b/relay/rules.cpp
@@ -4,11 +4,18 @@
 
 #include "config_policy.h"
 #include "descriptors.h"
+#include "disk_faults.h"
 #include "known.h"
 #include "log.h"
 #include "relay.h"
 
 namespace firspool::relay {
+namespace {
+
+constexpr int kReloadTries = 20;
+constexpr std::chrono::milliseconds kReloadPause{100};
+
+}  // namespace
 
 // Before anything is sent: what this process may spend alone.
 void Relay::share_budgets() {
@@ -89,9 +96,30 @@
 
 // All of the file or nothing of it. Where this process listens stays as it is until it is started again.
 void Relay::reload() {
+  reload_tries_ = 0;
+  reload_now();
+}
+
+// What the new configuration tells counts after 4 s: a file that cannot be read just now is read again.
+bool Relay::reload_later() {
+  if (++reload_tries_ > kReloadTries) return false;
+  reload_timer_.expires_after(kReloadPause);
+  reload_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) reload_now();
+  });
+  return true;
+}
+
+void Relay::reload_now() {
+  reload_timer_.cancel();
   Config next;
   try {
-    next = load_config(config_.path, config_.state);
+    try {
+      next = load_config(config_.path, config_.state);
+    } catch (const DiskFault& fault) {
+      if (fault.may_pass() && reload_later()) return;
+      throw;
+    }
     if (const std::string key = missing_key(config_, next); !key.empty()) {
       throw std::invalid_argument(key + " is missing");
     }
--- a/relay/upgrade_successor.cpp
+++ b/relay/upgrade_successor.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "config_policy.h"
+#include "disk_faults.h"
 #include "log.h"
 #include "relay.h"
 
@@ -38,29 +39,47 @@
   return (both - std::min(both, share_.file)) / 2;
 }
 
-// What the other process left is this one's now.
-void Relay::adopt(Place left) {
+// What the other process left is this one's once all of it is written here and nothing is left there: before,
+// none of it is acted on, so that a process which is killed in between finds all of it again and nothing
+// twice. False: the folder's files fail, and it is to be tried again.
+bool Relay::adopt(const Place& left) {
   const std::string bytes = left.read();
   if (outcomes_) outcomes_->complete_other(custody_.journal().ended_in(bytes));
-  std::vector<Recovered> entries = custody_.journal().adopt(bytes, taken_over_);
-  if (!entries.empty()) {
-    log_info("taken_over", std::to_string(entries.size()) + " messages taken over from a journal",
-             {{"messages", entries.size()}});
+  Journal::Adopted found = custody_.journal().adopt(bytes, taken_over_);
+  adopted_.insert(adopted_.end(), found.taken.begin(), found.taken.end());
+  if (found.failed || !left.remove()) return false;
+  if (!adopted_.empty()) {
+    log_info("taken_over", std::to_string(adopted_.size()) + " messages taken over from a journal",
+             {{"messages", adopted_.size()}});
   }
-  left.remove();
   show_access();
-  if (clients_) return custody_.resume(entries);
-  waiting_.insert(waiting_.end(), entries.begin(), entries.end());
+  custody_.give_back(found.without_room);
+  waiting_.insert(waiting_.end(), adopted_.begin(), adopted_.end());
+  adopted_.clear();
+  if (clients_) custody_.resume(std::exchange(waiting_, {}));
+  return true;
+}
+
+// As adopt(), of a process that ended while this one runs.
+bool Relay::adopt_while_running(const Place& left) {
+  try {
+    return adopt(left);
+  } catch (const DiskFault& fault) {
+    log_event(LogLevel::kWarning, "not_taken_over", fault.line(), {{"reason", fault.code()}});
+    return false;
+  }
 }
 
 // Until the other process ends or says what may be used beside it, it serves and this one does not.
 void Relay::succeed() {
   if (link_ || stopping_since_ != 0) return;
-  if (auto left = Place::take(config_.state, 1 - custody_.journal().place())) {
+  if (!standing_.left) standing_.left = Place::take(config_.state, 1 - custody_.journal().place());
+  if (standing_.left) {
     standing_.predecessor = false;
     share_ = {};
     apply_share();
-    adopt(std::move(*left));
+    if (!adopt_while_running(*standing_.left)) return succeed_later();
+    standing_.left.reset();
     taken_over_.clear();
     if (!clients_) serve();
     return;
@@ -74,6 +93,10 @@
                  });
     return link_->say(Word::kReady, "");
   }
+  succeed_later();
+}
+
+void Relay::succeed_later() {
   peer_timer_.expires_after(Handover::kPause);
   peer_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) succeed();
@@ -84,7 +107,7 @@
   if (word == Word::kShare) return take_share(text);
   if (word != Word::kMessage) return;
   const std::string id = text.substr(0, text.find('\n'));
-  const auto entries = custody_.journal().adopt(std::string_view(text).substr(id.size() + 1));
+  const auto entries = custody_.journal().adopt(std::string_view(text).substr(id.size() + 1)).taken;
   if (entries.empty()) return;  // no room: the predecessor keeps it, and leaves it behind in its journal
   taken_over_.insert(id);
   link_->say(Word::kWritten, id);
--- a/tests/access_journal_test.cpp
+++ b/tests/access_journal_test.cpp
@@ -158,13 +158,13 @@
     ASSERT_TRUE(rules.deny(fresh));
     now(1);
     // Handed over while both run: it was counted already.
-    ASSERT_EQ(fresh.adopt(old.records("a")).size(), 1u);
+    ASSERT_EQ(fresh.adopt(old.records("a")).taken.size(), 1u);
     EXPECT_EQ(fresh.hits().counts().total(), 1u);
     old.done("a");
     ASSERT_TRUE(rules.take_on(old, "c"));  // at the predecessor's door, late
     before = old.hits().counts().total();
     EXPECT_EQ(fresh.hits().folder(), old.hits().folder());
-    ASSERT_EQ(fresh.adopt(read_file(folder.file(0)), {"a"}).size(), 2u);
+    ASSERT_EQ(fresh.adopt(read_file(folder.file(0)), {"a"}).taken.size(), 2u);
     EXPECT_EQ(fresh.hits().counts().total(), 1 + before);
     (void)fresh.adopt(read_file(folder.file(0)), {"a"});
     EXPECT_EQ(fresh.hits().counts().total(), 1 + before) << "read twice";
@@ -196,9 +196,9 @@
   {
     Journal old(folder.place(0), kFile), fresh(folder.place(1), kFile);
     ASSERT_TRUE(rules.take_on(old, "a"));
-    ASSERT_EQ(fresh.adopt(old.records("a")).size(), 1u);
+    ASSERT_EQ(fresh.adopt(old.records("a")).taken.size(), 1u);
     old.done("a");
-    const auto back = old.adopt(read_file(folder.file(1)));
+    const auto back = old.adopt(read_file(folder.file(1))).taken;
     ASSERT_EQ(back.size(), 1u);
     EXPECT_EQ(back[0].verdict, rules.message("a").verdict->record);
     EXPECT_EQ(old.hits().counts().total(), 2u);
--- a/tests/parts_test.cpp
+++ b/tests/parts_test.cpp
@@ -293,12 +293,12 @@
   Journal journal(place(), 500'000, clock());
   journal.remember(Journal::kRevision, "4");
   ASSERT_TRUE(journal.accepted(message("a")));
-  const auto adopted = journal.adopt(left->read(), {"c"});
+  const auto adopted = journal.adopt(left->read(), {"c"}).taken;
   ASSERT_EQ(adopted.size(), 1u);
   EXPECT_EQ(adopted[0].message.id, "b");
   EXPECT_EQ(adopted[0].unsettled.size(), 1u);
   EXPECT_EQ(journal.remembered().at("host h"), "x");
-  EXPECT_TRUE(journal.adopt(left->read(), {"c"}).empty());
+  EXPECT_TRUE(journal.adopt(left->read(), {"c"}).taken.empty());
   EXPECT_EQ(journal.read(bytes()).size(), 2u);
 }
 
