Show that failures of our own count against hosts and messages

Cause: exchange.cpp connect() ends a call as kConnectFailed where socket() fails here; messages.h counts an attempt that may_start refused as a try.

--- a/tests/program_crossing_test.cpp
+++ b/tests/program_crossing_test.cpp
@@ -135,6 +135,18 @@
   EXPECT_EQ(id_of(s.host.next()), "00000000000000a2");
 }
 
+// More failing records than a message has tries.
+TEST(ProgramCrossing, RecordsThatFailForAWhileUseUpNoTry) {
+  Stage s;
+  s.program.start();
+  EXPECT_EQ(s.put(kId, facts("unsafe", 99)), "+OK");
+  limit_file(s.program, 1);
+  s.discovery.tell(list_json(2, false, {member_json("s-2", s.host.address(), 99)}));
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  limit_file(s.program, RLIM_INFINITY);
+  EXPECT_EQ(id_of(s.host.next()), kId);
+}
+
 // It gets no part of a core until the time of both is over: no call begins, and both have their notice.
 TEST(ProgramCrossing, TimeThatEndsWhileItStandsStillIsOver) {
   Stage s;
