Tell our own failures from the host's, and look at a client before its request is accepted

Cause: exchange.cpp booked a failing socket() or want of a port as kConnectFailed, and EINTR of send, recv and connect as a broken connection; messages.h counted an attempt that never began as a try. Clients waited behind idle and half-open connections for over 400 ms (places came free after 2 to 2.5 s), and requests of those that had gone were accepted. asio keeps ECONNABORTED to itself and then waits for the next connection, blocking the loop in drain(). Change: outcome kUnsent by the one table, which counts for nothing and pauses; interrupted calls are made again; has_gone() refuses the dead with -BUSY; while others wait, a silent newcomer goes after 0.1 s and a stalled part after 0.2 s; the wait in the backlog is taken off; what was read in the last turn is answered; ECONNABORTED is heard.

--- a/include/firspool/attempt_end.h
+++ b/include/firspool/attempt_end.h
@@ -17,7 +17,8 @@
       return Ran::kDone;
     case Outcome::kFull:           // turned away
     case Outcome::kConnectFailed:  // its last byte was not written
-    case Outcome::kMoot:           // not sent, by us or by what passes it on
+    case Outcome::kMoot:           // not sent, by what passes it on
+    case Outcome::kUnsent:         // nor by us
       return Ran::kNever;
     case Outcome::kError:
     case Outcome::kTimeout:
--- a/include/firspool/events.h
+++ b/include/firspool/events.h
@@ -56,7 +56,17 @@
   bool keeps_turn = false;           // given up, it keeps its turn until Withdrawn: it is not over before
 };
 
-enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot };
+enum class Outcome {
+  kOk,
+  kError,
+  kFull,
+  kTimeout,
+  kConnectFailed,
+  kReset,
+  kCancelled,
+  kMoot,   // not sent, by what passes calls on: it counts as an attempt
+  kUnsent  // not sent, for a reason of the caller's own: it counts for nothing, and its number is used again
+};
 
 struct AttemptEnded {
   uint64_t id = 0;
--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -5,6 +5,9 @@
 #include <cctype>
 #include <stdexcept>
 
+#include "own_want.h"
+#include "peer_state.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -15,9 +18,10 @@
 // At the planned end, for the first request on a connection, from its accept on: a client opens one in order
 // to send.
 constexpr Time kFirstRequest = 300'000;
-// For the peer's end after ours. With the two above it stays under what the end of the process leaves.
-constexpr auto kLinger = std::chrono::milliseconds(500);
-constexpr size_t kMostDropped = 1024 * 1024;  // bytes
+// While others wait for places: a client connects in order to send, and waits 400 ms for its answer. What
+// keeps silent for so long is none, or has given up; and one that waits is still served in time.
+constexpr Time kFirstByte = 100'000;
+constexpr Time kNextPart = 200'000;
 
 std::string upper(std::string text) {
   std::transform(text.begin(), text.end(), text.begin(), [](unsigned char c) { return std::toupper(c); });
@@ -26,12 +30,12 @@
 
 }  // namespace
 
-Clients::Session::Session(Clients& owner, tcp::socket socket)
+Clients::Session::Session(Clients& owner, tcp::socket socket, Time arrived)
     : owner_(&owner),
       socket_(std::move(socket)),
       timer_(owner.io_),
       opened_(steady_now()),
-      drained_(opened_) {}
+      drained_(arrived) {}
 
 void Clients::Session::begin() {
   state_ = State::kReading;
@@ -48,6 +52,7 @@
   }
   count();
   if (words) return handle(*words);
+  if (owner_->reading_over_) return linger();
   if (evicted_) return answer_last(owner_->busy_());
   if (patience_ == Patience::kOver) return answer_last("-ERR protocol error: request is not complete");
   // What is there already came at some time since the last read.
@@ -68,6 +73,20 @@
   socket_.cancel(ignored);
 }
 
+bool Clients::Session::may_yield(Time now) const {
+  if (state_ != State::kReading || yielding_ || evicted_) return false;
+  if (parser_.empty()) return fresh_ && now - opened_ >= kFirstByte;
+  return now - part_since_ >= kNextPart;
+}
+
+void Clients::Session::yield() {
+  yielding_ = true;
+  ++(parser_.empty() ? owner_->given_up_.quiet : owner_->given_up_.part);
+  if (!parser_.empty()) return evict();
+  boost::system::error_code ignored;
+  socket_.cancel(ignored);
+}
+
 void Clients::Session::finish() {
   if (state_ != State::kReading || !parser_.empty()) return;
   const Time rest = opened_ + kFirstRequest - steady_now();
@@ -76,6 +95,11 @@
   socket_.cancel(ignored);
 }
 
+void Clients::Session::end_reading() {
+  boost::system::error_code ignored;
+  if (state_ == State::kReading) socket_.cancel(ignored);
+}
+
 void Clients::Session::arm(std::chrono::microseconds time) {
   timer_.expires_after(time);
   timer_.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
@@ -111,9 +135,11 @@
   }
   boost::system::error_code failed;
   const bool woken = error == boost::asio::error::operation_aborted;
+  if (woken && owner_->reading_over_) return linger();
   if (woken && socket_.available(failed) > 0 && !failed) return proceed_once();
   if (patience_ == Patience::kOver || evicted_) return proceed();
   if (woken) return linger();
+  if (is_own_want(error)) return proceed();
   close();  // the peer ended, and nothing of it is unread
 }
 
@@ -127,29 +153,42 @@
 
 void Clients::Session::proceed_once() {
   boost::system::error_code error;
-  const size_t count = socket_.read_some(boost::asio::buffer(bytes_), error);
+  const size_t count = read_now(error);
   if (count == 0) return close();
   feed(count, false);
   proceed();
 }
 
+size_t Clients::Session::read_now(boost::system::error_code& error) {
+  size_t count = 0;
+  do {
+    count = socket_.read_some(boost::asio::buffer(bytes_), error);
+  } while (error == boost::asio::error::interrupted);
+  return count;
+}
+
 void Clients::Session::feed(size_t count, bool waited) {
   const Time now = steady_now();
   read_at_ = waited ? drained_ : now;
   if (count < bytes_.size()) drained_ = now;
+  if (parser_.empty()) part_since_ = now;
   parser_.feed({bytes_.data(), count});
 }
 
 void Clients::Session::handle(const std::vector<std::string>& words) {
   state_ = State::kDeciding;
   timer_.cancel();
-  fresh_ = evicted_ = false;
+  fresh_ = evicted_ = yielding_ = false;
   patience_ = Patience::kQuiet;
   const std::string command = upper(words[0]);
   if (command == "PING" && words.size() <= 2) {
     if (words.size() == 1) return answer("+PONG");
     return answer("$" + std::to_string(words[1].size()) + "\r\n" + words[1]);
   }
+  if (has_gone(socket_)) {
+    ++owner_->given_up_.gone;
+    return answer_last(owner_->busy_());
+  }
   const auto known = owner_->commands_.find(command);
   if (known == owner_->commands_.end()) return answer("-ERR unknown command");
   try {
@@ -170,59 +209,19 @@
   state_ = State::kWriting;
   arm(kQuiet);
   out_ = std::move(line) + "\r\n";
+  write();
+}
+
+void Clients::Session::write() {
   boost::asio::async_write(socket_, boost::asio::buffer(out_),
-                           [self = shared_from_this()](auto error, size_t) {
+                           [self = shared_from_this()](auto error, size_t count) {
                              if (self->state_ != State::kWriting) return;
+                             self->out_.erase(0, count);
+                             if (is_own_want(error)) return self->write();
                              if (error) return self->close();
                              if (self->last_) return self->linger();
                              self->begin();
                            });
 }
 
-void Clients::Session::linger() {
-  uncount();
-  state_ = State::kLingering;
-  boost::system::error_code ignored;
-  socket_.shutdown(tcp::socket::shutdown_send, ignored);
-  arm(kLinger);
-  owner_->lingers(place);
-  drop();
-}
-
-void Clients::Session::drop() {
-  socket_.async_read_some(boost::asio::buffer(bytes_), [self = shared_from_this()](auto error, size_t count) {
-    if (self->state_ != State::kLingering) return;
-    self->dropped_ += count;
-    if (error || self->dropped_ >= kMostDropped) return self->close();
-    self->drop();
-  });
-}
-
-void Clients::Session::close() {
-  uncount();
-  Clients& owner = *owner_;
-  const auto where = place;
-  const bool lingered = lingering();
-  end();
-  owner.forget(where, lingered);
-}
-
-void Clients::Session::end() {
-  state_ = State::kClosed;
-  owner_ = nullptr;
-  timer_.cancel();
-  boost::system::error_code ignored;
-  socket_.close(ignored);
-}
-
-void Clients::Session::orphan() {
-  boost::system::error_code error;
-  socket_.shutdown(tcp::socket::shutdown_send, error);
-  socket_.non_blocking(true, error);
-  for (size_t count = 0; !error && count < kMostDropped;) {
-    count += socket_.read_some(boost::asio::buffer(bytes_), error);
-  }
-  end();
-}
-
 }  // namespace firspool::relay
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -15,7 +15,8 @@
 
 class Clients::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(Clients& owner, tcp::socket socket);
+  // `arrived`: the earliest time at which its first bytes may have come.
+  Session(Clients& owner, tcp::socket socket, Time arrived);
 
   std::list<std::shared_ptr<Session>>::iterator place;
 
@@ -26,8 +27,14 @@
   size_t buffered() const { return state_ == State::kReading && !evicted_ ? counted_ : 0; }
   // For want of memory: ends the read, which then answers so.
   void evict();
+  // Whether a client that waits for a place may have this one's: nothing ever came on it, or a part of a
+  // request that does not go on. One that was answered keeps it while it rests.
+  bool may_yield(Time now) const;
+  void yield();
   // Wakes a pending read, which then decides: bytes that came in the meantime are a request to be served.
   void finish();
+  // Wakes a pending read, which then ends the connection.
+  void end_reading();
   bool lingering() const { return state_ == State::kLingering; }
   // Ends it at once, whatever its state: what it counted is given back, and the owner forgets it.
   void close();
@@ -61,12 +68,15 @@
   void uncount();
   // A request crossed the decision to close: it is read and served before.
   void proceed_once();
+  // What the socket holds, over interruptions; it blocks where that is nothing.
+  size_t read_now(boost::system::error_code& error);
   // The parser holds no whole request when it is fed: the last byte of each that it finds came with this
   // read.
   void feed(size_t count, bool waited);
   void handle(const std::vector<std::string>& words);
   void answer_last(std::string line);
   void answer(std::string line);
+  void write();
   // A close over unread bytes would reset the connection, and an answer that the peer has not read would go
   // with it: the sending side ends first, and the socket is closed after the peer's end or a bound.
   void linger();
@@ -86,8 +96,10 @@
   Patience patience_ = Patience::kQuiet;
   bool fresh_ = true;  // no request came on it
   bool evicted_ = false;
-  size_t counted_ = 0;  // bytes that the owner counts of it
-  size_t dropped_ = 0;  // bytes that came while lingering
+  bool yielding_ = false;
+  Time part_since_ = 0;  // when the first bytes of a request that is not whole came
+  size_t counted_ = 0;   // bytes that the owner counts of it
+  size_t dropped_ = 0;   // bytes that came while lingering
   bool last_ = false;
 };
 
--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -5,12 +5,16 @@
 #include <algorithm>
 
 #include "client_session.h"
+#include "peer_state.h"
 #include "put.h"
 
 namespace firspool::relay {
 namespace {
 
 constexpr auto kAcceptPause = std::chrono::milliseconds(50);
+constexpr auto kRoomPause = std::chrono::milliseconds(20);
+constexpr Time kClientPatience = 400'000;  // a client that is still there sent its request no longer ago
+
 }  // namespace
 
 Clients::Clients(boost::asio::io_context& io, const tcp::endpoint& listen, std::optional<int> inherited,
@@ -37,6 +41,8 @@
     acceptor_.bind(listen);
     acceptor_.listen();
   }
+  // Without this asio keeps a client's broken connect to itself, and waits for the next one, blocking or not.
+  acceptor_.set_option(tcp::acceptor::enable_connection_aborted(true));
   accept();
 }
 
@@ -48,16 +54,14 @@
 
 void Clients::accept() {
   if (accepting_ || !acceptor_.is_open()) return;
-  // At the limit further clients wait in the backlog: to close one would lose what it has written. But a
-  // connection that only waits for its peer's end gives its place up to them.
-  if (full() && lingering_.empty()) return;
   if (finishing_ && !full()) return drain();
   accepting_ = true;
   if (full()) {
+    if (full_since_ == 0) full_since_ = steady_now();
     acceptor_.async_wait(tcp::acceptor::wait_read, [this](const boost::system::error_code& error) {
       if (error == boost::asio::error::operation_aborted) return;
       accepting_ = false;
-      if (full() && !lingering_.empty()) return lingering_.front()->close();  // and comes back here
+      if (full()) return make_room();
       accept();
     });
     return;
@@ -70,7 +74,7 @@
     if (error == boost::asio::error::no_descriptors && !lingering_.empty()) {
       return lingering_.front()->close();
     }
-    if (error) return pause();
+    if (error && error != boost::asio::error::connection_aborted) return pause();
     accept();
   });
 }
@@ -87,6 +91,30 @@
   }
 }
 
+// A client waits in the backlog, and to close it there would lose what it has written. It gets the place of a
+// connection that only waits for its peer's end, or on which no request comes. If there is none yet, it waits
+// on.
+void Clients::make_room() {
+  if (!lingering_.empty()) return lingering_.front()->close();  // and comes back to accept()
+  const Time now = steady_now();
+  const auto yields =
+      std::ranges::find_if(sessions_, [&](const auto& session) { return session->may_yield(now); });
+  if (yields != sessions_.end()) (*yields)->yield();
+  pause_.expires_after(kRoomPause);
+  pause_.async_wait([this](const boost::system::error_code& stopped) {
+    if (!stopped) accept();
+  });
+}
+
+// Of a connection that is accepted now.
+Time Clients::earliest_arrival() {
+  const Time now = steady_now();
+  if (full_since_ == 0) return now;
+  const Time earliest = std::max(full_since_, now - kClientPatience);
+  if (!is_waiting(acceptor_)) full_since_ = 0;
+  return earliest;
+}
+
 // Out of descriptors, or the client is gone again: an accept at once would spin.
 void Clients::pause() {
   accepting_ = true;
@@ -101,7 +129,7 @@
 void Clients::admit(tcp::socket socket) {
   boost::system::error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
-  auto session = std::make_shared<Session>(*this, std::move(socket));
+  auto session = std::make_shared<Session>(*this, std::move(socket), earliest_arrival());
   session->place = sessions_.insert(sessions_.end(), session);
   session->begin();
 }
@@ -138,6 +166,14 @@
   }
 }
 
+void Clients::end_reading() {
+  reading_over_ = true;
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  pause_.cancel();
+  for (const auto& session : sessions_) session->end_reading();
+}
+
 void Clients::limit(size_t most) {
   limits_.connections = most;
   accept();
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
@@ -38,6 +39,10 @@
           Limits limits, Put put, Busy busy);
   ~Clients();
 
+  // Nothing more is read: what was read before is answered, and each connection ends behind that. For the
+  // process's last turn.
+  void end_reading();
+
   // More commands beside PING and MSG.PUT; `word` is in capitals, and clients may write it as they like.
   void add(const std::string& word, Command command) { commands_[word] = std::move(command); }
 
@@ -45,6 +50,15 @@
   // Each holds a descriptor; those that only wait for their peer's end are among them.
   size_t open() const { return sessions_.size() + lingering_.size(); }
 
+  // Connections that gave their places up to clients that waited for one, and requests that were not
+  // accepted.
+  struct GivenUp {
+    uint64_t quiet = 0;  // nothing ever came on them
+    uint64_t part = 0;   // a part of a request came, and did not go on
+    uint64_t gone = 0;   // requests whose senders had gone when they were read
+  };
+  const GivenUp& given_up() const { return given_up_; }
+
   // So many connections at once from now on; those that are open stay.
   void limit(size_t most);
 
@@ -63,8 +77,10 @@
   // Takes the next client of the backlog at once, if one waits.
   boost::system::error_code accept_next();
   void pause();
+  void make_room();
   void drain();
   void admit(tcp::socket socket);
+  Time earliest_arrival();
   void lingers(Sessions::iterator place);
   void forget(Sessions::iterator place, bool lingered);
   void evict_largest();
@@ -79,6 +95,9 @@
   Busy busy_;
   bool accepting_ = false;  // a wait for a client, or a pause after an error, is on
   bool finishing_ = false;
+  bool reading_over_ = false;
+  Time full_since_ = 0;  // since then connections may wait in the backlog; 0: none does
+  GivenUp given_up_;
   Sessions sessions_;
   Sessions lingering_;  // the longest at it first
 };
--- a/relay/connection_pool.cpp
+++ b/relay/connection_pool.cpp
@@ -1,6 +1,6 @@
 #include "connection_pool.h"
 
-#include <sys/socket.h>
+#include "peer_state.h"
 
 namespace firspool::relay {
 namespace {
@@ -11,12 +11,6 @@
 
 }  // namespace
 
-bool is_stale(tcp::socket& socket) {
-  char byte = 0;
-  const ssize_t got = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 ConnectionPool::ConnectionPool(boost::asio::io_context& io, Limits limits)
     : limits_(limits), evict_timer_(io) {
   evict_stale();
--- a/relay/connection_pool.h
+++ b/relay/connection_pool.h
@@ -13,9 +13,6 @@
 
 namespace firspool::relay {
 
-// A closed or chattering peer shows in what can be read from a connection that should be silent.
-bool is_stale(tcp::socket& socket);
-
 // How long an idle connection may be used again whose host closes it after `idle`: a second less, of a
 // time under two seconds half.
 constexpr Time reuse_for(Time idle) { return idle - std::min(Time{1'000'000}, idle / 2); }
--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "answer_fields.h"
+#include "peer_state.h"
 
 namespace firspool::relay {
 namespace {
@@ -37,13 +38,22 @@
   const Time connected_by = std::min(begun_ + call_.timeout, begun_ + owner_->limits_.connect_timeout);
   short_ = !probe_ && call_.budget.cap(call_.start_by) < connected_by;
   arm(short_ ? call_.budget.cap(call_.start_by) : connected_by);
+  open_connection();
+}
+
+void Upstream::Exchange::open_connection() {
   Error error;
+  socket_.close(error);
   socket_.open(call_.address.protocol(), error);
   if (!error) socket_.set_option(tcp::no_delay(true), error);
-  if (error) return broke(Break::kConnection);
+  if (error) return broke(break_by(error));
   socket_.async_connect(call_.address, [self = shared_from_this()](const Error& failed) {
-    if (self->moment_ == Moment::kOver) return;
-    if (failed) return self->broke(Break::kConnection);
+    if (self->moment_ != Moment::kConnecting) return;
+    if (failed == boost::asio::error::interrupted) return self->open_connection();
+    if (failed) return self->broke(break_by(failed));
+    Error unconnected;
+    (void)self->socket_.remote_endpoint(unconnected);
+    if (unconnected) return self->broke(Break::kOwnWant);  // no port: a connect that never began looks done
     self->arm(self->deadline_);
     self->write();
   });
@@ -68,7 +78,7 @@
 
 // That too little time is left for a connect says nothing of the host.
 void Upstream::Exchange::overdue() {
-  if (moment_ == Moment::kConnecting && short_) return finish(Outcome::kMoot);
+  if (moment_ == Moment::kConnecting && short_) return finish(Outcome::kUnsent);
   broke(Break::kTimeout);
 }
 
@@ -91,7 +101,7 @@
 
 void Upstream::Exchange::write() {
   // The connection took its time: what was told meanwhile counts.
-  if (!probe_ && !owner_->may_start_(call_)) return finish(Outcome::kMoot, Then::kKeep);
+  if (!probe_ && !owner_->may_start_(call_)) return finish(Outcome::kUnsent, Then::kKeep);
   moment_ = Moment::kWriting;
   request_ = request_text();
   std::string().swap(call_.body);
@@ -112,8 +122,12 @@
   if (is_stale(socket_)) return broke(Break::kConnection);
   Error error;
   socket_.non_blocking(true, error);
-  if (!error) sent_ += socket_.write_some(boost::asio::buffer(request_) + sent_, error);
-  if (error && error != boost::asio::error::would_block) return broke(Break::kConnection);
+  do {
+    if (!error || error == boost::asio::error::interrupted) {
+      sent_ += socket_.write_some(boost::asio::buffer(request_) + sent_, error);
+    }
+  } while (error == boost::asio::error::interrupted);
+  if (error && error != boost::asio::error::would_block) return broke(break_by(error));
   if (sent_ == request_.size()) {
     moment_ = Moment::kAwaitingHead;
     std::string().swap(request_);
--- a/relay/exchange.h
+++ b/relay/exchange.h
@@ -26,6 +26,7 @@
   enum class Then { kClose, kKeep };  // what becomes of the connection
 
   void connect();
+  void open_connection();
   void write();
   std::string request_text() const;
 
--- a/relay/operator.cpp
+++ b/relay/operator.cpp
@@ -77,6 +77,7 @@
 
 Operator::Operator(boost::asio::io_context& io, const tcp::endpoint& listen, Reply reply)
     : io_(io), acceptor_(io, listen), pause_(io), reply_(std::move(reply)) {
+  acceptor_.set_option(tcp::acceptor::enable_connection_aborted(true));  // else it waits for the next caller
   accept();
 }
 
--- /dev/null
+++ b/relay/own_want.h
@@ -0,0 +1,17 @@
+// Failures of system calls that are this process's own want, and say nothing of a peer.
+#pragma once
+
+#include <boost/asio/error.hpp>
+
+namespace firspool::relay {
+
+// No descriptor, port, buffer or memory could be had: the same call may succeed a moment later.
+inline bool is_own_want(const boost::system::error_code& error) {
+  namespace errc = boost::system::errc;
+  return error == errc::too_many_files_open || error == errc::too_many_files_open_in_system ||
+         error == errc::no_buffer_space || error == errc::not_enough_memory ||
+         error == errc::address_in_use || error == errc::address_not_available ||
+         error == errc::resource_unavailable_try_again;
+}
+
+}  // namespace firspool::relay
--- a/relay/upstream.h
+++ b/relay/upstream.h
@@ -37,7 +37,7 @@
 
     ConnectionPool::Limits pool() const { return {idle, most_idle}; }
   };
-  // Asked right before a call's first byte: a call that may no longer start ends as kMoot.
+  // Asked right before a call's first byte: a call that may not start now ends as kUnsent.
   using MayStart = std::function<bool(const Call&)>;
   using Ended = std::function<void(const AttemptEnded&, bool began)>;  // began: MayStart allowed it
   using Written = std::function<void(const Call&)>;                    // the call's last byte was written
--- a/src/messages.h
+++ b/src/messages.h
@@ -9,7 +9,8 @@
 constexpr Time kPauseLeast = 20 * kMs;  // a repeat's random pause: long enough to leave the moment of failure
 constexpr double kUsualDevs = 2;  // hardly an answer comes by so many mean deviations sooner than is usual
 constexpr int kUsualSeen = 5;     // so many served calls tell how long one usually takes
-constexpr Time kWindowMargin = 50 * kMs;  // a call is under way for a while before its host looks at its key
+constexpr Time kWindowMargin =
+    200 * kMs;  // a caller may be held up for 150 ms before its byte, which is under way
 
 // A message's worth for each second of a slot, negated: the most comes first; its target, and its number.
 using Candidate = std::tuple<double, Time, uint64_t>;
@@ -57,6 +58,7 @@
     if (m.rules->in_order && hanging) key_rests_[m.key] = {s_.now + s_.set.order_pause, e.id};
     if (e.final || m.withdrawn) return end(m);
     if (e.outcome == Outcome::kMoot) return;
+    if (e.outcome == Outcome::kUnsent) return unsent(m);
     m.repeat = true;
     pause(m);
     if (ran_after(e.outcome) == Ran::kNever || m.ran) return;
@@ -173,6 +175,13 @@
     if (std::erase(turns_[key], id); turns_[key].empty()) turns_.erase(key);
   }
 
+  // The attempt did not begin, and a token that it paid is the next one's. What hindered it may last a
+  // moment.
+  void unsent(Message& m) {
+    --m.attempts;
+    pause(m);
+  }
+
   void pause(Message& m) { m.not_before = s_.now + s_.random.between(kPauseLeast, kPauseMost); }
 
   // What a tenant sends beyond its quota is worth little. A part that was not granted is taken as even.
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -76,7 +76,8 @@
     // Slow or lost: whether calls past the suspicious age are served after all.
     if ((ok || late) && e.took > s_.latency_of(d).suspicious())
       s_.hope += 2 * kGain * ((ok ? 1 : 0) - s_.hope);
-    if (e.outcome == Outcome::kCancelled || e.outcome == Outcome::kMoot) return;
+    if (e.outcome == Outcome::kCancelled || e.outcome == Outcome::kMoot || e.outcome == Outcome::kUnsent)
+      return;
     if (e.outcome == Outcome::kFull) {
       if (e.wait > 0) limits_.wait(s_.now + e.wait, l);
       if (e.wait > 0 && l.steered) l.pacer = limits_.late_start(l.wait_until);
--- a/tests/rules_checker.cpp
+++ b/tests/rules_checker.cpp
@@ -38,6 +38,10 @@
       sent.out = false;
       if (--calls_[sent.call] == 0) calls_.erase(sent.call);
       const Outcome o = ended->outcome;
+      if (o == Outcome::kUnsent) {  // it counts for nothing
+        it->second.sent.pop_back();
+        continue;
+      }
       sent.ran = o != Outcome::kFull && o != Outcome::kConnectFailed && o != Outcome::kMoot;
       if (ended->final) it->second.ended = true;
       if (o == Outcome::kFull && ended->wait > 0) {
--- a/tests/upstream_outcomes_test.cpp
+++ b/tests/upstream_outcomes_test.cpp
@@ -17,6 +17,18 @@
   }
 }
 
+TEST(CallMoment, TellsOurOwnWantsFromTheHostsFailures) {
+  const auto by = [](int error) {
+    return break_by(boost::system::error_code(error, boost::system::system_category()));
+  };
+  for (const int own : {EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EADDRINUSE, EAGAIN}) {
+    EXPECT_EQ(by(own), Break::kOwnWant) << own;
+  }
+  for (const int hosts : {ECONNREFUSED, ECONNRESET, EPIPE, ETIMEDOUT, EHOSTUNREACH, ENETUNREACH}) {
+    EXPECT_EQ(by(hosts), Break::kConnection) << hosts;
+  }
+}
+
 TEST(CallMoment, DecidesWhatACallIsThatEndsInIt) {
   using enum Moment;
   for (const Break how : {Break::kConnection, Break::kTimeout, Break::kCancelled}) {
@@ -28,6 +40,9 @@
     EXPECT_EQ(outcome_of(kReadingBody, how, true), Outcome::kOk);
     EXPECT_EQ(outcome_of(kReadingBody, how, false), Outcome::kReset);
   }
+  EXPECT_EQ(outcome_of(kConnecting, Break::kOwnWant, false), Outcome::kUnsent);
+  EXPECT_EQ(outcome_of(kWriting, Break::kOwnWant, false), Outcome::kUnsent);
+  EXPECT_EQ(outcome_of(kAwaitingHead, Break::kOwnWant, false), Outcome::kReset);
   EXPECT_EQ(outcome_of(kAwaitingHead, Break::kConnection, false), Outcome::kReset);
   EXPECT_EQ(outcome_of(kAwaitingHead, Break::kTimeout, false), Outcome::kTimeout);
   EXPECT_EQ(outcome_of(kAwaitingHead, Break::kCancelled, false), Outcome::kCancelled);
