Send nothing to a host that moved to another cell or address, and hear a restarted discovery

Cause: a handle stood for an id, and the module kept the host under its old destination too; may_start did not look at address or cell; Directory::apply dropped every list of a lower revision. Change: an id in another cell is another host; may_start looks at both; a whole list of a lower revision holds, what was told to leave stays so until a later list.

--- a/relay/directory.cpp
+++ b/relay/directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -76,21 +77,33 @@
 
 std::optional<MembersChanged> Directory::apply(const HostList& list) {
   if (list.revision < revision_ || (list.revision == revision_ && !list.complete)) return {};
+  return take(list, false);
+}
+
+std::optional<MembersChanged> Directory::apply_told(const HostList& list) {
+  const bool restarted = list.complete && list.revision < revision_;
+  return restarted ? take(list, true) : apply(list);
+}
+
+std::optional<MembersChanged> Directory::take(const HostList& list, bool restarted) {
   revision_ = list.revision;
-  if (list.complete) {
-    for (auto& [handle, host] : hosts_) {
-      if (std::exchange(host.member.listing, Listing::kGone) != Listing::kGone) gone_.push_back(handle);
-    }
+  std::set<Endpoint> leaving;
+  for (auto& [handle, host] : hosts_) {
+    if (restarted && host.member.listing != Listing::kReady) leaving.insert(handle);
+    if (!list.complete) continue;
+    if (std::exchange(host.member.listing, Listing::kGone) != Listing::kGone) gone_.push_back(handle);
   }
   auto members = std::make_shared<std::vector<Member>>();
   for (const ListedHost& listed : list.hosts) {
-    const auto [place, fresh] = handles_.try_emplace(listed.id, Endpoint{last_handle_ + 1, 0});
-    if (fresh) ++last_handle_;
-    const Endpoint handle = place->second;
-    ListedHost& host = hosts_[handle];
+    const Endpoint handle = handle_of(listed, *members);
+    const auto [place, fresh] = hosts_.try_emplace(handle);
+    ListedHost& host = place->second;
     const bool was_gone = !fresh && host.member.listing == Listing::kGone;
     if (listed.readable || fresh) host = listed;
     host.member.listing = listed.member.listing;
+    if (leaving.contains(handle) && host.member.listing == Listing::kReady) {
+      host.member.listing = Listing::kDraining;
+    }
     host.member.endpoint = handle;
     if (host.member.listing == Listing::kGone && !was_gone) gone_.push_back(handle);
     members->push_back(host.member);
@@ -102,6 +115,22 @@
   return out;
 }
 
+// Of an id in another cell than before, the old handle's end is told first.
+Endpoint Directory::handle_of(const ListedHost& listed, std::vector<Member>& members) {
+  const auto known = handles_.find(listed.id);
+  if (known != handles_.end()) {
+    ListedHost& before = hosts_.at(known->second);
+    const bool moved =
+        listed.readable && before.readable && before.member.destination != listed.member.destination;
+    if (!moved) return known->second;
+    if (std::exchange(before.member.listing, Listing::kGone) != Listing::kGone)
+      gone_.push_back(known->second);
+    before.id.clear();
+    members.push_back(before.member);
+  }
+  return handles_[listed.id] = Endpoint{++last_handle_, 0};
+}
+
 // Hosts are replaced all day long: those that left longest ago make room. One that was listed again stays,
 // and is entered anew when it leaves.
 void Directory::forget() {
--- a/relay/directory.h
+++ b/relay/directory.h
@@ -45,11 +45,15 @@
 HostList parse_list(const nlohmann::json& json, const ListNames& names);
 
 // A machine that takes over another's address has an id of its own, so handles stand for ids, not addresses.
+// An id that moves to another cell is another host: its old handle is gone, as what was listed there.
 class Directory {
  public:
   // Takes a list over; returns what to tell the module, or nothing where the list is older than what is
   // known.
   std::optional<MembersChanged> apply(const HostList& list);
+  // As apply(), of what discovery tells now. A whole list of a lower revision is of a discovery that began
+  // anew: it holds, but what was told to leave stays so until a later list says otherwise.
+  std::optional<MembersChanged> apply_told(const HostList& list);
 
   const ListedHost* find(const Endpoint& endpoint) const;
   bool active(const Endpoint& endpoint) const;
@@ -57,6 +61,8 @@
   const std::map<Endpoint, ListedHost>& hosts() const { return hosts_; }
 
  private:
+  std::optional<MembersChanged> take(const HostList& list, bool restarted);
+  Endpoint handle_of(const ListedHost& listed, std::vector<Member>& members);
   void forget();
 
   int64_t revision_ = -1;
--- a/relay/known.cpp
+++ b/relay/known.cpp
@@ -43,6 +43,7 @@
 
 void remember(Journal& journal, const Directory& directory) {
   for (const auto& [handle, host] : directory.hosts()) {
+    if (host.id.empty()) continue;  // it moved to another cell, and is listed there
     journal.remember(kHost + host.id, host.member.listing == Listing::kGone ? "" : host.text);
   }
   journal.remember(Journal::kRevision, std::to_string(directory.revision()));
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -91,6 +91,7 @@
   });
   follow_changes(changes, relay);
   io.run();
+  relay.finish_last_turn();
 }
 
 // Files that fail for a moment end no process: what they hold is owed, and a start has time to be ready.
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -1,7 +1,6 @@
 #include "relay.h"
 
 #include <algorithm>
-#include <boost/asio/post.hpp>
 #include <span>
 
 #include "descriptors.h"
@@ -15,10 +14,18 @@
 constexpr Time kMs = 1000;
 constexpr Time kServeOn = 500 * kMs;    // after SIGTERM: new connections still come for a while
 constexpr Time kLastCall = 3500 * kMs;  // SIGKILL follows 3.7 s after SIGTERM at the soonest
+constexpr Time kLastTurn = 100 * kMs;
 constexpr Time kStopPoll = 50 * kMs;
 constexpr Time kReport = 10 * 1000 * kMs;
 constexpr Time kFirstWord = 300 * kMs;  // discovery answers at once, unless it is down
 
+std::string given_up_lines(const Clients::GivenUp& counts) {
+  const auto line = [](const std::string& name, uint64_t value) {
+    return "svc_clients_" + name + "_total " + std::to_string(value) + "\n";
+  };
+  return line("quiet_closed", counts.quiet) + line("part_closed", counts.part) + line("gone", counts.gone);
+}
+
 }  // namespace
 
 Relay::Relay(boost::asio::io_context& io, const Config& config,
@@ -50,7 +57,7 @@
       watch_(
           io, config.discovery, config.names, AskTimes(config.settings, config.seed),
           [this, known = config.known.revision] { return std::max(known, directory_.revision()); },
-          [this](const HostList& list) { told(list); }, [this] { open(); }),
+          [this](const HostList& list) { members_changed(directory_.apply_told(list)); }, [this] { open(); }),
       listening_(std::move(listening)),
       open_timer_(io),
       peer_timer_(io) {
@@ -84,8 +91,9 @@
   for (const DestinationMemory& memory : known.memories) happened(memory);
 }
 
-void Relay::told(const HostList& list) {
-  auto change = directory_.apply(list);
+void Relay::told(const HostList& list) { members_changed(directory_.apply(list)); }
+
+void Relay::members_changed(std::optional<MembersChanged> change) {
   if (!change) return;
   happened(std::move(*change));
   remember(custody_.journal(), directory_);
@@ -118,6 +126,7 @@
       feeds_->command(words, std::move(answer));
     });
   }
+  replies_.add_figures("clients", [this] { return given_up_lines(clients_->given_up()); });
   if (config_.inherited) await_successor();
   listening_(clients_->address());
 }
@@ -167,8 +176,7 @@
   const bool idle =
       custody_.held().empty() && custody_.notices().empty() && (!clients_ || clients_->open() == 0);
   if (age >= kLastCall || (closed_ && idle)) {
-    // Behind the step of what was handed in just now: its answers are owed.
-    return boost::asio::post(io_, [this] { io_.stop(); });
+    return io_.stop();
   }
   stop_timer_.expires_after(std::chrono::microseconds(kStopPoll));
   stop_timer_.async_wait([this](const boost::system::error_code& error) {
@@ -176,6 +184,14 @@
   });
 }
 
+// Requests that were read in the last turn, or whose step has not run yet, are answered before the end.
+void Relay::finish_last_turn() {
+  if (clients_) clients_->end_reading();
+  const Time until = steady_now() + kLastTurn;
+  io_.restart();
+  while (steady_now() < until && io_.poll_one() > 0) continue;
+}
+
 // To a client whose request is not read for want of memory (there is room again when peers that do not go on
 // with theirs are closed), or that is turned away at a shut door.
 std::string Relay::busy_line(Time within) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -38,6 +38,8 @@
 
   // Planned end: serves a little longer, lets calls finish, and stops the event loop.
   void stop();
+  // Once the loop was stopped.
+  void finish_last_turn();
 
  private:
   // Whose journals there are in the folder at the start.
@@ -62,6 +64,7 @@
   // The start, the report and the end (relay.cpp).
   void recall(const std::map<std::string, std::string>& facts);
   void told(const HostList& list);
+  void members_changed(std::optional<MembersChanged> change);
   void open();
   void serve();
   void listen();
--- a/relay/turn.cpp
+++ b/relay/turn.cpp
@@ -34,13 +34,14 @@
   return {member.destination, apart ? member.endpoint : Endpoint{}};
 }
 
-// The last look before a call's first byte. While its connection came up the host may have been drained, its
-// destination may have told another call to wait, or the message may be over.
+// The last look before a call's first byte. While its connection came up the host may have moved or been
+// drained, its destination may have told another call to wait, or the message may be over.
 bool Relay::may_start(const Call& call) {
   Custody::Held* held = custody_.find(call.id);
   const ListedHost* host = directory_.find(call.endpoint);
   const Time now = steady_now();
   if (held == nullptr || !directory_.active(call.endpoint)) return false;
+  if (host->address != call.address || host->member.destination != held->handed.destination) return false;
   if (now > call.start_by || held->handed.budget.over(now)) return false;
   if (waits_.until(lane_of(host->member)) > now) return false;
   const auto& verdict = held->handed.verdict;
@@ -53,6 +54,7 @@
   if (end.wait > 0 && host != nullptr) waits_.tell(lane_of(host->member), steady_now() + end.wait);
   if (Custody::Held* held = custody_.find(end.id)) {
     held->out = false;
+    if (end.outcome == Outcome::kUnsent) --held->attempts;
     if (end.final) {
       custody_.finish(end.id, {}, Reason::kTime, end.outcome == Outcome::kOk);
     } else {
@@ -121,13 +123,13 @@
     Custody::Held* held = custody_.find(send->id);
     const ListedHost* host = directory_.find(send->endpoint);
     if (held == nullptr || host == nullptr) {  // given back in this very turn for want of room
-      AttemptEnded moot;
-      moot.id = send->id;
-      moot.attempt = held == nullptr ? 0 : held->attempts++;
-      moot.endpoint = send->endpoint;
-      moot.outcome = Outcome::kMoot;
-      moot.final = held == nullptr;  // one that is held still is owed its end
-      return happened(std::move(moot));
+      AttemptEnded unsent;
+      unsent.id = send->id;
+      unsent.attempt = held == nullptr ? 0 : held->attempts;
+      unsent.endpoint = send->endpoint;
+      unsent.outcome = Outcome::kUnsent;
+      unsent.final = held == nullptr;  // one that is held still is owed its end
+      return happened(std::move(unsent));
     }
     Call call;
     call.id = send->id;
--- a/tests/directory_test.cpp
+++ b/tests/directory_test.cpp
@@ -46,6 +46,26 @@
   for (const Member& member : *first->members) EXPECT_FALSE(directory.active(member.endpoint));
 }
 
+// What was listed for the other cell is gone: nothing for that one may go there, and its calls' ends count
+// there.
+TEST(Directory, AHostThatMovesToAnotherCellIsAnother) {
+  Directory directory;
+  const auto first =
+      directory.apply(parse_list(list_json(1, true, {member_json("s-1", "10.0.0.1:80", 7)}), kNames));
+  ASSERT_TRUE(first);
+  const Endpoint before = first->members->at(0).endpoint;
+  const auto next =
+      directory.apply(parse_list(list_json(2, false, {member_json("s-1", "10.0.0.1:80", 9)}), kNames));
+  ASSERT_TRUE(next);
+  EXPECT_FALSE(directory.active(before));
+  EXPECT_EQ(directory.find(before)->member.destination, 7);
+  ASSERT_EQ(next->members->size(), 2u);
+  EXPECT_EQ(next->members->at(0).listing, Listing::kGone);
+  EXPECT_EQ(next->members->at(0).endpoint, before);
+  EXPECT_EQ(next->members->at(1).destination, 9);
+  EXPECT_TRUE(directory.active(next->members->at(1).endpoint));
+}
+
 // Without its id an entry tells nothing. A whole list is as good without it; of changes one is missed.
 TEST(Directory, AnEntryWithoutAnIdIsMissedOnlyAmongChanges) {
   nlohmann::json nameless = member_json("s-2", "10.0.0.2:80", 7);
