Read the boot's id again where it could not be read

Cause: one failed read of the id put windows and waits on the wall clock for the life of the process. Measured: no test of its own.

--- a/relay/budget.cpp
+++ b/relay/budget.cpp
@@ -5,25 +5,31 @@
 #include <charconv>
 #include <chrono>
 #include <cstdlib>
-#include <fstream>
+
+#include "disk_faults.h"
+#include "lasting_file.h"
 
 namespace firspool::relay {
 namespace {
 
 constexpr Time kMs = 1000;
 constexpr Time kTransit = 2 * kMs;  // a message's time runs from its client's sending
-constexpr Time kFine = 10 * kMs;    // below, a whole millisecond is a tenth of it
+constexpr int kBootIdTries = 20;
+constexpr Time kFine = 10 * kMs;  // below, a whole millisecond is a tenth of it
 
 template <typename C>
 Time read() {
   return std::chrono::duration_cast<std::chrono::microseconds>(C::now().time_since_epoch()).count();
 }
 
-// The first 64 bits of the random number that the kernel draws when it starts.
-uint64_t boot_id() {
-  std::ifstream in("/proc/sys/kernel/random/boot_id");
+// The first 64 bits of the random number that the kernel draws when it starts; 0: it cannot be read.
+uint64_t read_boot_id() {
   std::string text;
-  std::getline(in, text);
+  try {
+    text = read_file("/proc/sys/kernel/random/boot_id");
+  } catch (const DiskFault&) {
+    return 0;
+  }
   std::erase(text, '-');
   uint64_t out = 0;
   const auto [end, error] =
@@ -31,6 +37,13 @@
   return error == std::errc() && end == text.data() + 16 ? out : 0;
 }
 
+// Read again for as long as it cannot be read: without it windows and waits would hang on the wall clock.
+uint64_t boot_id() {
+  static uint64_t known = 0;
+  for (int tries = 0; known == 0 && tries < kBootIdTries; ++tries) known = read_boot_id();
+  return known;
+}
+
 // A machine whose wall clock is off, for trials: milliseconds, from the environment.
 Time wall_offset() {
   const char* text = std::getenv("UMBERHOIST_WALL_OFFSET_MS");
@@ -48,9 +61,8 @@
 Time steady_now() { return read<std::chrono::steady_clock>(); }
 
 Instant instant_now() {
-  static const uint64_t boot = boot_id();
   static const Time offset = wall_offset();
-  return {steady_now(), read<std::chrono::system_clock>() + offset, boot};
+  return {steady_now(), read<std::chrono::system_clock>() + offset, boot_id()};
 }
 
 Time here(const Instant& then, const Instant& now) {
