--- a/tests/clients_closing_test.cpp
+++ b/tests/clients_closing_test.cpp
@@ -129,5 +129,21 @@
   EXPECT_EQ(read_all(client), "end");
 }
 
+// The process ends in the turn in which a request was read: that one is answered, and no other is read.
+TEST_F(ClientsClosing, ARequestReadInTheLastTurnIsAnswered) {
+  Socket client = connect();
+  client.send(put_bytes("a1", kFacts));
+  ASSERT_TRUE(run_to(1));
+  client.send(put_bytes("a2", kFacts));
+  answers_[0]("+OK");
+  io_.restart();
+  while (unread_by_relay(client) > 0) ASSERT_EQ(io_.poll_one(), 1u);
+  ASSERT_EQ(handed_.size(), 1u);  // it was read, and its handler has not run
+  end();
+  if (answers_.size() > 1) answers_[1]("+OK");
+  clients_.reset();
+  EXPECT_EQ(read_all(client), "+OK\r\n+OK\r\nend");
+}
+
 }  // namespace
 }  // namespace firspool::relay
--- a/tests/clients_stage.h
+++ b/tests/clients_stage.h
@@ -2,6 +2,7 @@
 // test's sockets send between two of its steps.
 #pragma once
 
+#include <netinet/in.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -27,6 +28,7 @@
         io_, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0), std::optional<int>(), limits,
         [this](Handed handed, Clients::Answer answer) {
           handed_.push_back(handed.id);
+          due_.push_back(handed.budget.due());
           if (decide_) return answer("+OK");
           answers_.push_back(std::move(answer));
         },
@@ -35,6 +37,11 @@
   }
   Socket connect() const { return Socket::connect(port_); }
 
+  // The last turn of the process.
+  void end() {
+    clients_->end_reading();
+    settle();
+  }
   // Runs what is ready, until nothing is.
   void settle() {
     io_.restart();
@@ -62,6 +69,19 @@
     ::ioctl(socket.fd(), FIONREAD, &count);
     return static_cast<size_t>(count);
   }
+  // Bytes of the client's that the relay's end, in this process, has not read.
+  static size_t unread_by_relay(const Socket& client) {
+    sockaddr_in own{}, peer{};
+    socklen_t size = sizeof own;
+    ::getsockname(client.fd(), reinterpret_cast<sockaddr*>(&own), &size);
+    int count = 0;
+    for (int fd = 3; fd < 1024; ++fd) {
+      size = sizeof peer;
+      if (::getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0) continue;
+      if (peer.sin_port == own.sin_port) ::ioctl(fd, FIONREAD, &count);
+    }
+    return static_cast<size_t>(count);
+  }
   // The stream's end or a reset is there, with nothing before it.
   static bool over(const Socket& socket) {
     char byte = 0;
@@ -93,6 +113,7 @@
   boost::asio::io_context io_;
   bool decide_ = false;  // at once, for all
   std::vector<std::string> handed_;
+  std::vector<Time> due_;  // of each
   std::vector<Clients::Answer> answers_;
   std::unique_ptr<Clients> clients_;
   uint16_t port_ = 0;
--- a/tests/journal_model_test.cpp
+++ b/tests/journal_model_test.cpp
@@ -177,5 +177,38 @@
   }
 }
 
+class BrokenDisk : public Disk {
+ public:
+  bool broken = false;
+  ssize_t write(int file, const void* bytes, size_t count) override {
+    if (!broken) return Disk::write(file, bytes, count);
+    errno = EIO;
+    return -1;
+  }
+};
+
+// What another process left stays there until all of it is here.
+TEST(JournalModel, TakesOverLaterWhatItCannotWriteNow) {
+  std::string pattern = fs::temp_directory_path() / "umberhoist-adopt-XXXXXX";
+  const fs::path folder = ::mkdtemp(pattern.data());
+  const auto rules = std::make_shared<const MessageRules>();
+  Journal other(std::move(*Place::take(folder, 1)), 60'000);
+  for (const char* id : {"a", "b"}) {
+    ASSERT_TRUE(other.accepted({id, "keyed", "key", 7, Budget::until(60'000'000), "body", "", rules}));
+  }
+  const std::string left = read_file(folder / "journal.2");
+  BrokenDisk disk;
+  Journal journal(std::move(*Place::take(folder, 0)), 60'000, instant_now, 0, disk);
+  disk.broken = true;
+  const Journal::Adopted none = journal.adopt(left);
+  EXPECT_TRUE(none.failed);
+  EXPECT_TRUE(none.taken.empty() && none.without_room.empty());
+  disk.broken = false;
+  const Journal::Adopted all = journal.adopt(left);
+  EXPECT_FALSE(all.failed);
+  EXPECT_EQ(all.taken.size(), 2u);
+  fs::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace firspool::relay
