--- a/tests/failing_calls.cpp
+++ b/tests/failing_calls.cpp
@@ -2,8 +2,8 @@
 //
 // FAILING_CALLS holds NAME=VALUE pairs with commas between: `seed`; shares of calls that fail, by name:
 // `interrupt` (EINTR of send, recv, epoll_wait), `short` (sends and receives of one byte), `accept`,
-// `socket`, `connect`, and of regular files `write` (cut short, then ENOSPC), `eio` (writes), `truncate`,
-// `rename`; files fail for the first `spell_ms` of every `period_ms` only.
+// `socket`, `connect`, and of regular files `write` (cut short, then ENOSPC), `eio` (writes), `read` (EIO),
+// `truncate`, `rename`; files fail for the first `spell_ms` of every `period_ms` only.
 #include <dlfcn.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -89,6 +89,13 @@
   return some == 0 ? fail({ENOSPC}) : real(fd, bytes, some);
 }
 
+ssize_t read(int fd, void* bytes, size_t count) {
+  static const auto real = next<ssize_t(int, void*, size_t)>("read");
+  static const double broken = setting("read");
+  if (broken > 0 && in_spell() && is_regular(fd) && chance(broken)) return fail({EIO});
+  return real(fd, bytes, count);
+}
+
 int ftruncate(int fd, off_t size) noexcept {
   static const auto real = next<int(int, off_t)>("ftruncate");
   static const double share = setting("truncate");
--- a/tests/fleet/plays.h
+++ b/tests/fleet/plays.h
@@ -6,6 +6,7 @@
 #include <filesystem>
 
 #include "play.h"
+#include "programs.h"
 
 namespace umberhoist::lab {
 
--- a/tests/peers.h
+++ b/tests/peers.h
@@ -132,6 +132,8 @@
   // Starts a further process on the same folder and the same inherited socket.
   void inherit(const Socket& listener) { inherited_ = listener.fd(); }
   void share(const Program& other);
+  // Its system calls fail by this plan (failing_calls.cpp) from the next start on.
+  void fail_calls(std::string plan) { failing_calls_ = std::move(plan); }
   void configure(const nlohmann::json& config);  // replaces the file
   void replace(const std::string& text);         // and with anything
   void signal(int number);
@@ -146,6 +148,7 @@
   std::filesystem::path folder_;
   std::filesystem::path state_;
   int inherited_ = -1;
+  std::string failing_calls_;
   pid_t child_ = -1;
   uint16_t port_ = 0;
   Socket log_;
