Go on with a write that the system took in part only, whatever the socket's next edge

Cause: asio takes a short send for a full socket and waits for the next edge of its readiness (epoll_reactor start_op: try_speculative off, EPOLLOUT registered already). Where the system took less than it had room for, no edge comes: the second cut write on a connection stood until the notice's 120 to 1,000 ms or the client's 400 ms were over. That is the late final answer of FailingCalls (0 attempts, 1.5 s late): its notice's post stood, was dropped and stood again. Change: write_whole() writes without blocking and asks anew whether the socket can be written to; clients, notices, watch, second address, handover and the fleet's wire use it. A read or write that fails for want of our own pauses 10 ms in place of failing again at once.

--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -1,12 +1,12 @@
 #include "client_session.h"
 
 #include <algorithm>
-#include <boost/asio/write.hpp>
 #include <cctype>
 #include <stdexcept>
 
 #include "own_want.h"
 #include "peer_state.h"
+#include "whole_write.h"
 
 namespace firspool::relay {
 namespace {
@@ -139,7 +139,11 @@
   if (woken && socket_.available(failed) > 0 && !failed) return proceed_once();
   if (patience_ == Patience::kOver || evicted_) return proceed();
   if (woken) return linger();
-  if (is_own_want(error)) return proceed();
+  if (is_own_want(error)) {
+    return after_own_want(socket_.get_executor(), [self = shared_from_this()] {
+      if (self->state_ == State::kReading) self->proceed();
+    });
+  }
   close();  // the peer ended, and nothing of it is unread
 }
 
@@ -213,15 +217,13 @@
 }
 
 void Clients::Session::write() {
-  boost::asio::async_write(socket_, boost::asio::buffer(out_),
-                           [self = shared_from_this()](auto error, size_t count) {
-                             if (self->state_ != State::kWriting) return;
-                             self->out_.erase(0, count);
-                             if (is_own_want(error)) return self->write();
-                             if (error) return self->close();
-                             if (self->last_) return self->linger();
-                             self->begin();
-                           });
+  write_whole(socket_, boost::asio::buffer(out_),
+              [self = shared_from_this()](const boost::system::error_code& error, size_t) {
+                if (self->state_ != State::kWriting) return;
+                if (error) return self->close();
+                if (self->last_) return self->linger();
+                self->begin();
+              });
 }
 
 }  // namespace firspool::relay
--- a/relay/fleet_wire_link.cpp
+++ b/relay/fleet_wire_link.cpp
@@ -1,9 +1,9 @@
 #include "fleet_wire_link.h"
 
 #include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 
 #include "../fleet/reading.h"
+#include "whole_write.h"
 
 namespace firspool::relay {
 namespace {
@@ -148,15 +148,15 @@
 void FleetWire::Link::write() {
   if (writing_ || out_.empty()) return;
   writing_ = true;
-  boost::asio::async_write(socket_, boost::asio::buffer(out_.front()),
-                           [self = shared_from_this()](const Error& error, size_t count) {
-                             if (self->owner_ == nullptr) return;
-                             if (error) return self->close();
-                             self->writing_ = false;
-                             self->queued_ -= count;
-                             self->out_.pop_front();
-                             self->write();
-                           });
+  write_whole(socket_, boost::asio::buffer(out_.front()),
+              [self = shared_from_this()](const Error& error, size_t count) {
+                if (self->owner_ == nullptr) return;
+                if (error) return self->close();
+                self->writing_ = false;
+                self->queued_ -= count;
+                self->out_.pop_front();
+                self->write();
+              });
 }
 
 }  // namespace firspool::relay
--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -4,9 +4,10 @@
 #include <unistd.h>
 
 #include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <cstring>
 
+#include "whole_write.h"
+
 namespace firspool::relay {
 namespace {
 
@@ -60,13 +61,13 @@
 }
 
 void Link::write() {
-  boost::asio::async_write(socket_, boost::asio::buffer(out_.front()),
-                           [self = shared_from_this()](const Error& error, size_t) {
-                             if (error) return;  // the read ends too, and says so
-                             self->unsent_ -= self->out_.front().size();
-                             self->out_.pop_front();
-                             if (!self->out_.empty()) self->write();
-                           });
+  write_whole(socket_, boost::asio::buffer(out_.front()),
+              [self = shared_from_this()](const Error& error, size_t) {
+                if (error) return;  // the read ends too, and says so
+                self->unsent_ -= self->out_.front().size();
+                self->out_.pop_front();
+                if (!self->out_.empty()) self->write();
+              });
 }
 
 void Link::read() {
--- a/relay/notices.cpp
+++ b/relay/notices.cpp
@@ -5,7 +5,9 @@
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
+#include "http_text.h"
 #include "log.h"
+#include "whole_write.h"
 
 namespace firspool::relay {
 namespace {
@@ -35,14 +37,11 @@
   explicit Post(Notices& owner) : owner_(&owner), socket_(owner.io_) {}
 
   void send(const std::string& body) {
-    request_ = {};
-    request_.version(11);
-    request_.method(http::verb::post);
-    request_.target("/v2/finals");
-    request_.set(http::field::host, owner_->address_.address().to_string());
-    request_.set(http::field::content_type, "application/x-ndjson");
-    request_.body() = body;
-    request_.prepare_payload();
+    http::request<http::string_body> request(http::verb::post, "/v2/finals", kHttpVersion, body);
+    request.set(http::field::host, owner_->address_.address().to_string());
+    request.set(http::field::content_type, "application/x-ndjson");
+    request.prepare_payload();
+    request_ = text_of(request);
     if (socket_.is_open()) return write();
     Error ignored;
     socket_.open(owner_->address_.protocol(), ignored);
@@ -63,14 +62,15 @@
 
  private:
   void write() {
-    http::async_write(socket_, request_, [self = shared_from_this()](const Error& error, size_t) {
-      if (error) return self->end(Answer::kNone);
-      self->answer_ = {};
-      http::async_read(self->socket_, self->buffer_, self->answer_, [self](const Error& failed, size_t) {
-        self->reusable_ = !failed && self->answer_.keep_alive();
-        self->end(failed ? Answer::kNone : answer_of(self->answer_.result_int()));
-      });
-    });
+    write_whole(
+        socket_, boost::asio::buffer(request_), [self = shared_from_this()](const Error& error, size_t) {
+          if (error) return self->end(Answer::kNone);
+          self->answer_ = {};
+          http::async_read(self->socket_, self->buffer_, self->answer_, [self](const Error& failed, size_t) {
+            self->reusable_ = !failed && self->answer_.keep_alive();
+            self->end(failed ? Answer::kNone : answer_of(self->answer_.result_int()));
+          });
+        });
   }
 
   static Answer answer_of(unsigned status) {
@@ -84,7 +84,7 @@
 
   Notices* owner_;
   tcp::socket socket_;
-  http::request<http::string_body> request_;
+  std::string request_;
   boost::beast::flat_buffer buffer_;
   http::response<http::string_body> answer_;
   bool reusable_ = false;
--- a/relay/operator.cpp
+++ b/relay/operator.cpp
@@ -1,7 +1,8 @@
 #include "operator.h"
 
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
+
+#include "whole_write.h"
 
 namespace firspool::relay {
 namespace {
@@ -64,8 +65,8 @@
 
   void answer(std::string reply) {
     out_ = std::move(reply);
-    boost::asio::async_write(socket_, boost::asio::buffer(out_),
-                             [self = shared_from_this()](const Error&, size_t) { self->close(); });
+    write_whole(socket_, boost::asio::buffer(out_),
+                [self = shared_from_this()](const Error&, size_t) { self->close(); });
   }
 
   Operator* owner_;
--- a/relay/own_want.h
+++ b/relay/own_want.h
@@ -2,9 +2,15 @@
 #pragma once
 
 #include <boost/asio/error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <memory>
+#include <utility>
 
 namespace firspool::relay {
 
+constexpr std::chrono::milliseconds kOwnWantPause{10};
+
 // No descriptor, port, buffer or memory could be had: the same call may succeed a moment later.
 inline bool is_own_want(const boost::system::error_code& error) {
   namespace errc = boost::system::errc;
@@ -14,4 +20,13 @@
          error == errc::resource_unavailable_try_again;
 }
 
+// Makes the call again after a pause: at once it would fail as before, and keep the loop busy.
+template <typename Executor, typename Again>
+void after_own_want(const Executor& executor, Again again) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(executor, kOwnWantPause);
+  timer->async_wait([timer, again = std::move(again)](const boost::system::error_code& error) mutable {
+    if (!error) again();
+  });
+}
+
 }  // namespace firspool::relay
--- a/relay/watch.cpp
+++ b/relay/watch.cpp
@@ -4,8 +4,10 @@
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
+#include "http_text.h"
 #include "json_stream.h"
 #include "log.h"
+#include "whole_write.h"
 
 namespace firspool::relay {
 namespace {
@@ -22,17 +24,17 @@
   explicit Stream(Watch& owner) : owner_(&owner), socket_(owner.io_) {}
 
   void start(int64_t revision) {
-    request_.version(11);
-    request_.method(http::verb::get);
-    request_.target("/api/targets?stream=1&index=" + std::to_string(revision));
-    request_.set(http::field::host, owner_->address_.address().to_string());
+    const std::string target = "/api/targets?stream=1&index=" + std::to_string(revision);
+    http::request<http::empty_body> request(http::verb::get, target, kHttpVersion);
+    request.set(http::field::host, owner_->address_.address().to_string());
+    request_ = text_of(request);
     parser_.body_limit(boost::none);
     Error ignored;
     socket_.open(owner_->address_.protocol(), ignored);
     socket_.set_option(tcp::no_delay(true), ignored);
     socket_.async_connect(owner_->address_, [self = shared_from_this()](const Error& error) {
       if (error) return self->end();
-      http::async_write(self->socket_, self->request_, [self](const Error& failed, size_t) {
+      write_whole(self->socket_, boost::asio::buffer(self->request_), [self](const Error& failed, size_t) {
         if (failed) return self->end();
         http::async_read_header(self->socket_, self->buffer_, self->parser_,
                                 [self](const Error& none, size_t) {
@@ -77,7 +79,7 @@
 
   Watch* owner_;
   tcp::socket socket_;
-  http::request<http::empty_body> request_;
+  std::string request_;
   boost::beast::flat_buffer buffer_;
   http::response_parser<http::string_body> parser_;
   JsonStream stream_;
--- a/tests/short_writes_test.cpp
+++ b/tests/short_writes_test.cpp
@@ -21,5 +21,37 @@
   }
 }
 
+TEST_F(ShortWrites, NoticesComeWholeOnOneConnection) {
+  program.start();
+  constexpr int kNowhere = 99;
+  constexpr int kLifeMs = 200;
+  for (const std::string id : {"00000000000000a1", "00000000000000a2", "00000000000000a3"}) {
+    EXPECT_EQ(put(id, facts("unsafe", kNowhere, kLifeMs)), "+OK");
+    const nlohmann::json notice = discovery.notice();
+    ASSERT_TRUE(notice.is_object()) << "it never came";
+    EXPECT_EQ(notice["id"], id);
+  }
+}
+
+TEST_F(ShortWrites, TheListIsAskedForWhole) {
+  config["known"] = list_json(1, true, {});
+  program.configure(config);
+  discovery.tell(list_json(2, true, {member_json("s-1", host.address(), 7)}));
+  Program late(config);
+  late.fail_calls(kOneByteEach);
+  late.start();
+  Socket client = late.client();
+  client.send(put_bytes("00000000000000a1", facts("unsafe")));
+  EXPECT_EQ(id_of(host.next()), "00000000000000a1");
+}
+
+TEST_F(ShortWrites, TheOperatorsAddressAnswersWhole) {
+  config["operator"] = free_address();
+  Program with_operator(config);
+  with_operator.fail_calls(kOneByteEach);
+  with_operator.start();
+  EXPECT_TRUE(figures(config["operator"]).contains("svc_clients_gone_total"));
+}
+
 }  // namespace
 }  // namespace firspool::testing
