--- a/relay/journal.h
+++ b/relay/journal.h
@@ -40,7 +40,7 @@
   struct Adopted {
     std::vector<Recovered> taken;         // written here
     std::vector<Recovered> without_room;  // for which this file has no room
-    bool failed = false;  // others could not be written now: the same bytes are to be adopted again
+    std::vector<Recovered> unwritten;     // could not be written now: the same bytes are to be adopted again
   };
   // Takes over another process's records, but for messages that are here already or are to be skipped. Facts
   // only where they are newer.
--- a/relay/journal_adopt.cpp
+++ b/relay/journal_adopt.cpp
@@ -23,7 +23,7 @@
     } else if (live_bytes() + entry.records.size() > most_file_) {
       out.without_room.push_back(std::move(entry.what));
     } else {
-      out.failed = true;
+      out.unwritten.push_back(std::move(entry.what));
     }
   }
   if (hits_.fold(content.hits)) {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -60,7 +60,8 @@
           [this](const HostList& list) { members_changed(directory_.apply_told(list)); }, [this] { open(); }),
       listening_(std::move(listening)),
       open_timer_(io),
-      peer_timer_(io) {
+      peer_timer_(io),
+      passed_timer_(io) {
   if (config.feeds) custody_.tell(outcomes_.emplace(config, custody_.journal().place()));
   share_budgets();
   if (!standing_.predecessor) join_fleet();
@@ -172,7 +173,10 @@
     closed_ = true;
     if (clients_) clients_->finish();
   }
-  if (handing_) tell_share();
+  if (handing_) {
+    tell_share();
+    end_overdue_passed();
+  }
   const bool idle =
       custody_.held().empty() && custody_.notices().empty() && (!clients_ || clients_->open() == 0);
   if (age >= kLastCall || (closed_ && idle)) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -94,11 +95,16 @@
   // Upgrade: as the successor of another process (upgrade_successor.cpp),
   static Standing take_places(const std::filesystem::path& folder);
   size_t file_limit() const;
+  std::optional<Place> take_other_place();
   bool adopt(const Place& left);
   bool adopt_while_running(const Place& left);
+  void adopt_later();
+  void notify_overdue(const std::vector<Recovered>& entries);
   void succeed();
   void succeed_later();
   void heard_as_successor(Word word, const std::string& text);
+  bool take_passed(const std::string& text);
+  void take_passed_later();
   void take_share(const std::string& text);
   void apply_share();
   // and as the predecessor of one (upgrade_predecessor.cpp).
@@ -108,7 +114,10 @@
   void pass_on();
   void tell_share();
   void passed_on(const std::string& id);
+  void end_overdue_passed();
   void successor_lost();
+  void look_for_successor_again();
+  void resume_passed();
 
   boost::asio::io_context& io_;
   Config config_;
@@ -138,7 +147,9 @@
   std::set<std::string> taken_over_;  // from a predecessor: its journal may name them still
   std::vector<Recovered> waiting_;    // from before: resumed once this process serves
   std::vector<Recovered> adopted_;    // of what another process left: waits until all of that is written here
-  std::shared_ptr<Link> link_;        // to the other process
+  std::set<std::string> notified_;    // of what could not be written here yet, those whose time is over
+  std::deque<std::string> unwritten_;  // as a predecessor passed them on, to be written here yet
+  std::shared_ptr<Link> link_;         // to the other process
   Upstream upstream_;
   Replies replies_;
   std::optional<AccessLink> access_;   // where customers have rules, or had
@@ -151,6 +162,7 @@
   std::function<void(const tcp::endpoint&)> listening_;
   boost::asio::steady_timer open_timer_;
   boost::asio::steady_timer peer_timer_;
+  boost::asio::steady_timer passed_timer_;
   std::optional<Handover> handover_;
   std::optional<Clients> clients_;  // once what was taken on before is resumed
 };
--- a/relay/upgrade_predecessor.cpp
+++ b/relay/upgrade_predecessor.cpp
@@ -2,6 +2,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "disk_faults.h"
 #include "log.h"
 #include "relay.h"
 
@@ -103,16 +104,37 @@
   told_share_ = std::move(text);
 }
 
+// A message that the successor could not write is owed its end here, until its process says otherwise.
+void Relay::end_overdue_passed() {
+  const Time now = steady_now();
+  std::vector<uint64_t> over;
+  for (const auto& [number, held] : custody_.held()) {
+    if (held.passed && held.handed.budget.over(now)) over.push_back(number);
+  }
+  for (const uint64_t number : over) {
+    const Custody::Held& held = *custody_.find(number);
+    custody_.finish(number, Notice{held.handed.id, held.attempts == 0, 0});
+  }
+}
+
+void Relay::look_for_successor_again() {
+  peer_timer_.expires_after(Handover::kPause);
+  peer_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error && handing_ && !link_) successor_lost();
+  });
+}
+
 // It took over and is gone: this process serves again, with what the other had.
 void Relay::successor_lost() {
   if (stopping_since_ != 0) return;
-  auto left = Place::take(config_.state, 1 - custody_.journal().place());
-  if (!left) {
-    peer_timer_.expires_after(Handover::kPause);
-    peer_timer_.async_wait([this](const boost::system::error_code& error) {
-      if (!error && handing_ && !link_) successor_lost();
-    });
-    return;
+  auto left = take_other_place();
+  if (!left) return look_for_successor_again();
+  std::vector<Recovered> written;
+  try {
+    written = custody_.journal().read(left->read());
+  } catch (const DiskFault& fault) {
+    log_event(LogLevel::kWarning, "not_taken_over", fault.line(), {{"reason", fault.code()}});
+    return look_for_successor_again();
   }
   log_event(LogLevel::kWarning, "successor_gone", "the successor is gone: serving again");
   handing_ = closed_ = false;
@@ -120,8 +142,33 @@
   custody_.journal().limit(file_limit());
   happened(Closing{std::numeric_limits<Time>::max()});
   // A message that it had written may have been sent by it: its records count, not the ones here.
-  for (const Recovered& entry : custody_.journal().read(left->read())) passed_on(entry.message.id);
-  adopt(std::move(*left));
+  for (const Recovered& entry : written) {
+    passed_on(entry.message.id);
+    share_.ids.insert(entry.message.id);
+  }
+  standing_.left = std::move(left);
+  adopt_later();
+  resume_passed();
+  join_fleet();
+  clients_.reset();
+  listen();
+}
+
+// Until its files can be written the successor's messages are known by their ids, and owed.
+void Relay::adopt_later() {
+  if (adopt_while_running(*standing_.left)) {
+    standing_.left.reset();
+    share_.ids.clear();
+    return;
+  }
+  peer_timer_.expires_after(Handover::kPause);
+  peer_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) adopt_later();
+  });
+}
+
+// What the successor did not write is this process's as before.
+void Relay::resume_passed() {
   std::vector<Recovered> again;
   std::vector<uint64_t> passed;
   for (const auto& [number, held] : custody_.held()) {
@@ -133,9 +180,6 @@
   }
   for (const uint64_t number : passed) custody_.forget(number);
   custody_.resume(again);
-  join_fleet();
-  clients_.reset();
-  listen();
 }
 
 }  // namespace firspool::relay
--- a/relay/upgrade_successor.cpp
+++ b/relay/upgrade_successor.cpp
@@ -47,7 +47,11 @@
   if (outcomes_) outcomes_->complete_other(custody_.journal().ended_in(bytes));
   Journal::Adopted found = custody_.journal().adopt(bytes, taken_over_);
   adopted_.insert(adopted_.end(), found.taken.begin(), found.taken.end());
-  if (found.failed || !left.remove()) return false;
+  if (!found.unwritten.empty() || !left.remove()) {
+    notify_overdue(found.unwritten);
+    notify_overdue(adopted_);
+    return false;
+  }
   if (!adopted_.empty()) {
     log_info("taken_over", std::to_string(adopted_.size()) + " messages taken over from a journal",
              {{"messages", adopted_.size()}});
@@ -56,10 +60,20 @@
   custody_.give_back(found.without_room);
   waiting_.insert(waiting_.end(), adopted_.begin(), adopted_.end());
   adopted_.clear();
+  notified_.clear();
   if (clients_) custody_.resume(std::exchange(waiting_, {}));
   return true;
 }
 
+// What cannot be written yet is owed its end all the same; one that is told twice does no harm.
+void Relay::notify_overdue(const std::vector<Recovered>& entries) {
+  const Time now = steady_now();
+  for (const Recovered& entry : entries) {
+    if (!entry.message.budget.over(now) || !notified_.insert(entry.message.id).second) continue;
+    custody_.give_back({entry});
+  }
+}
+
 // As adopt(), of a process that ended while this one runs.
 bool Relay::adopt_while_running(const Place& left) {
   try {
@@ -70,10 +84,20 @@
   }
 }
 
+// The other process's, where that is gone.
+std::optional<Place> Relay::take_other_place() {
+  try {
+    return Place::take(config_.state, 1 - custody_.journal().place());
+  } catch (const DiskFault& fault) {
+    log_event(LogLevel::kWarning, "not_taken_over", fault.line(), {{"reason", fault.code()}});
+    return {};
+  }
+}
+
 // Until the other process ends or says what may be used beside it, it serves and this one does not.
 void Relay::succeed() {
   if (link_ || stopping_since_ != 0) return;
-  if (!standing_.left) standing_.left = Place::take(config_.state, 1 - custody_.journal().place());
+  if (!standing_.left) standing_.left = take_other_place();
   if (standing_.left) {
     standing_.predecessor = false;
     share_ = {};
@@ -89,6 +113,7 @@
     link_->start([this](Word word, const std::string& text) { heard_as_successor(word, text); },
                  [this] {
                    link_.reset();
+                   unwritten_.clear();  // its journal has them
                    succeed();
                  });
     return link_->say(Word::kReady, "");
@@ -106,12 +131,35 @@
 void Relay::heard_as_successor(Word word, const std::string& text) {
   if (word == Word::kShare) return take_share(text);
   if (word != Word::kMessage) return;
+  if (take_passed(text)) return;
+  unwritten_.push_back(text);
+  if (unwritten_.size() == 1) take_passed_later();
+}
+
+// False: it cannot be written here now. The predecessor keeps it until then, and leaves it behind in its
+// journal if it ends before.
+bool Relay::take_passed(const std::string& text) {
   const std::string id = text.substr(0, text.find('\n'));
-  const auto entries = custody_.journal().adopt(std::string_view(text).substr(id.size() + 1)).taken;
-  if (entries.empty()) return;  // no room: the predecessor keeps it, and leaves it behind in its journal
+  const auto found = custody_.journal().adopt(std::string_view(text).substr(id.size() + 1));
+  if (!found.unwritten.empty() || !found.without_room.empty()) return false;
   taken_over_.insert(id);
   link_->say(Word::kWritten, id);
-  custody_.resume(entries, true);
+  custody_.resume(found.taken, true);
+  return true;
+}
+
+void Relay::take_passed_later() {
+  passed_timer_.expires_after(Handover::kPause);
+  passed_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (error || !link_) return;
+    const size_t tries = unwritten_.size();
+    for (size_t i = 0; i < tries; ++i) {
+      std::string text = std::move(unwritten_.front());
+      unwritten_.pop_front();
+      if (!take_passed(text)) unwritten_.push_back(std::move(text));
+    }
+    if (!unwritten_.empty()) take_passed_later();
+  });
 }
 
 void Relay::take_share(const std::string& text) {
--- a/tests/journal_model_test.cpp
+++ b/tests/journal_model_test.cpp
@@ -201,11 +201,11 @@
   Journal journal(std::move(*Place::take(folder, 0)), 60'000, instant_now, 0, disk);
   disk.broken = true;
   const Journal::Adopted none = journal.adopt(left);
-  EXPECT_TRUE(none.failed);
+  EXPECT_EQ(none.unwritten.size(), 2u);
   EXPECT_TRUE(none.taken.empty() && none.without_room.empty());
   disk.broken = false;
   const Journal::Adopted all = journal.adopt(left);
-  EXPECT_FALSE(all.failed);
+  EXPECT_TRUE(all.unwritten.empty());
   EXPECT_EQ(all.taken.size(), 2u);
   fs::remove_all(folder);
 }
--- a/tests/upgrade_hard_test.cpp
+++ b/tests/upgrade_hard_test.cpp
@@ -34,6 +34,18 @@
   EXPECT_EQ(s.program.wait(), 0);  // of itself, with nothing left to do
 }
 
+TEST(UpgradeHard, WhatADeadSuccessorLeftIsTakenBackThoughWritesFail) {
+  Upgrade s;
+  s.program.kill();
+  s.program.fail_calls(kWritesFailOften);
+  s.program.start();
+  hand_in_accepted(s, kMessages);
+  s.upgrade();
+  EXPECT_TRUE(becomes(s.new_address(), "svc_in_flight", std::to_string(kMessages)));
+  s.successor.kill();
+  EXPECT_TRUE(becomes(s.old_address(), "svc_in_flight", std::to_string(kMessages)));
+}
+
 // The one that took over is a predecessor itself a little later.
 TEST(UpgradeHard, AnUpgradeOfAnUpgradePassesAllOn) {
   Upgrade s;
