--- a/feeds/outcome_log.cpp
+++ b/feeds/outcome_log.cpp
@@ -95,7 +95,7 @@
     back_first_ = next_;
     take(records.bodies, back_oldest_ms_, back_newest_ms_);
     back_size_ = records.whole;
-    if (writes_ && records.whole < bytes.size()) want(files_->cut(records.whole));
+    if (writes_ && records.whole < bytes.size()) files_->cut(records.whole);
     return true;
   } catch (const Bad&) {
     if (!writes_) forget();
--- a/feeds/outcome_log.h
+++ b/feeds/outcome_log.h
@@ -32,7 +32,7 @@
   virtual std::string read(Part part) = 0;  // all of it; empty: it is not there
   virtual std::string read(Part part, size_t offset, size_t length) = 0;
   virtual bool append(std::string_view bytes) = 0;  // to the back: all, or nothing is left there
-  virtual bool cut(size_t size) = 0;                // the back to this size
+  virtual void cut(size_t size) = 0;                // the back: nothing behind this size is there any more
   virtual bool begin(std::string_view head) = 0;    // the back is this, at once
   virtual bool promote() = 0;                       // the back takes the front's place, and is gone
   virtual bool drop_front() = 0;
--- a/feeds/service.cpp
+++ b/feeds/service.cpp
@@ -20,7 +20,7 @@
 
 Service::Service(Settings settings, std::string_view file, uint64_t seed,
                  std::function<std::vector<const OutcomeLog*>()> logs)
-    : settings_(std::move(settings)), logs_(std::move(logs)), chance_(seed) {
+    : settings_(std::move(settings)), logs_(std::move(logs)), chance_(seed), last_read_(chance_()) {
   if (std::ranges::find(settings_.voters, settings_.name) == settings_.voters.end()) return;
   register_.emplace(Register::Settings{settings_.name, settings_.voters}, file, chance_());
 }
@@ -138,7 +138,7 @@
 }
 
 void Service::heard(Time now, const std::string& from, const Message& message) {
-  if (const auto* ask = std::get_if<Ask>(&message)) return send(from, encode(feeds::answer(*ask, logs_())));
+  if (const auto* ask = std::get_if<Ask>(&message)) return hear(from, *ask);
   if (const auto* have = std::get_if<Have>(&message)) {
     missing_.erase(from);
     for (auto& [number, serving] : sessions_) {
--- a/feeds/service.h
+++ b/feeds/service.h
@@ -111,6 +111,7 @@
   Serving* find(const std::string& session);
   void make_room(Time now);
   void heard(Time now, const std::string& from, const Message& message);
+  void hear(const std::string& from, const Ask& ask);
   void send(const std::string& to, std::string bytes);
   void advance(Time now);
   void advance(Time now, Serving& serving);
@@ -134,7 +135,7 @@
   std::deque<std::pair<std::string, std::string>> own_;  // to this relay itself
   std::vector<Output> out_;
   bool advancing_ = false;
-  uint64_t last_read_ = 0;
+  uint64_t last_read_;  // begins anywhere: answers to a process before this one match no read of it
   double tokens_ = 0;
   Time filled_ = -1;
   Figures figures_;
--- a/feeds/service_reads.cpp
+++ b/feeds/service_reads.cpp
@@ -1,6 +1,7 @@
 // The service's reads: in turn, within the budget; and how positions, gaps and missing relays are told.
 #include <algorithm>
 
+#include "outcome_log.h"
 #include "service.h"
 
 namespace umberhoist::feeds {
@@ -100,6 +101,17 @@
   read.answer(out);
 }
 
+// Where its log cannot be read just now, this relay does not answer: it counts as missing until it does.
+void Service::hear(const std::string& from, const Ask& ask) {
+  std::string bytes;
+  try {
+    bytes = encode(feeds::answer(ask, logs_()));
+  } catch (const fleet::Bad&) {
+    return;
+  }
+  send(from, std::move(bytes));
+}
+
 void Service::hear_missing(Time now, const Collect& collect) {
   for (const auto& [relay, logs] : collect.holdings()) {
     if (!logs) missing_.emplace(relay, now);
--- a/relay/disk.cpp
+++ b/relay/disk.cpp
@@ -18,6 +18,10 @@
 
 ssize_t Disk::read(int file, void* bytes, size_t count) { return ::read(file, bytes, count); }
 
+ssize_t Disk::read_at(int file, void* bytes, size_t count, size_t offset) {
+  return ::pread(file, bytes, count, static_cast<off_t>(offset));
+}
+
 ssize_t Disk::write(int file, const void* bytes, size_t count) { return ::write(file, bytes, count); }
 
 int Disk::truncate(int file, size_t size) { return ::ftruncate(file, static_cast<off_t>(size)); }
--- a/relay/disk.h
+++ b/relay/disk.h
@@ -18,6 +18,7 @@
 
   virtual int open(const std::filesystem::path& path, int flags);  // a new file is its owner's alone
   virtual ssize_t read(int file, void* bytes, size_t count);
+  virtual ssize_t read_at(int file, void* bytes, size_t count, size_t offset);
   virtual ssize_t write(int file, const void* bytes, size_t count);
   virtual int truncate(int file, size_t size);
   virtual int rename(const std::filesystem::path& from, const std::filesystem::path& to);
--- a/relay/feed_files.cpp
+++ b/relay/feed_files.cpp
@@ -4,6 +4,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <utility>
 
 #include "lasting_file.h"
@@ -11,84 +12,96 @@
 namespace firspool::relay {
 namespace {
 
-size_t at(umberhoist::feeds::LogFiles::Part part) { return static_cast<size_t>(part); }
+constexpr int kNoFile = -1;
 
 }  // namespace
 
-FeedFiles::FeedFiles(const std::filesystem::path& folder, int place) {
+FeedFiles::FeedFiles(const std::filesystem::path& folder, int place, Disk& disk) : disk_(disk), back_(disk) {
   const std::string back =
       (folder / "feeds.log").string() + (place == 0 ? "" : "." + std::to_string(place + 1));
-  paths_[at(Part::kBack)] = back;
-  paths_[at(Part::kFront)] = back + ".front";
+  paths_[static_cast<size_t>(Part::kBack)] = back;
+  paths_[static_cast<size_t>(Part::kFront)] = back + ".front";
+  readers_.fill(kNoFile);
 }
 
-FeedFiles::~FeedFiles() { forget(); }
+FeedFiles::~FeedFiles() { close_readers(); }
 
 void FeedFiles::forget() {
-  close(Part::kFront);
-  close(Part::kBack);
+  close_readers();
+  back_.close();
+  whole_.reset();
 }
 
-int FeedFiles::open(Part part, int flags) {
-  int& fd = fds_[at(part)];
-  if (fd < 0) fd = ::open(paths_[at(part)].c_str(), flags | O_CLOEXEC, 0600);
-  return fd;
+int FeedFiles::open_to_read(Part part) {
+  int& file = readers_[static_cast<size_t>(part)];
+  if (file == kNoFile) file = disk_.open(path(part), O_RDONLY);
+  return file;
 }
 
-void FeedFiles::close(Part part) {
-  if (const int fd = std::exchange(fds_[at(part)], -1); fd >= 0) ::close(fd);
+void FeedFiles::close_readers() {
+  for (int& file : readers_) {
+    if (const int open = std::exchange(file, kNoFile); open != kNoFile) ::close(open);
+  }
 }
 
-std::string FeedFiles::read(Part part) { return read_file(paths_[at(part)]); }
+bool FeedFiles::open_to_append() {
+  if (back_.is_open()) return true;
+  const int file = disk_.open(path(Part::kBack), O_RDWR | O_APPEND);
+  if (file < 0) return false;
+  struct stat now {};
+  if (::fstat(file, &now) != 0) {
+    ::close(file);
+    return false;
+  }
+  const auto size = static_cast<size_t>(now.st_size);
+  const size_t whole = whole_.value_or(size);
+  back_.begin(file, whole, whole < size);
+  whole_.reset();
+  return true;
+}
+
+std::string FeedFiles::read(Part part) { return read_file(path(part), disk_); }
 
 std::string FeedFiles::read(Part part, size_t offset, size_t length) {
   std::string out(length, '\0');
-  const int fd = open(part, part == Part::kBack ? O_RDWR | O_APPEND : O_RDONLY);
-  const ssize_t got = fd < 0 ? -1 : ::pread(fd, out.data(), length, static_cast<off_t>(offset));
-  out.resize(got < 0 ? 0 : static_cast<size_t>(got));
+  const int file = open_to_read(part);
+  size_t have = 0;
+  while (file != kNoFile && have < length) {
+    const ssize_t got = disk_.read_at(file, out.data() + have, length - have, offset + have);
+    if (got < 0 && errno == EINTR) continue;
+    if (got <= 0) break;
+    have += static_cast<size_t>(got);
+  }
+  out.resize(have);
   return out;
 }
 
-bool FeedFiles::append(std::string_view bytes) {
-  const int fd = open(Part::kBack, O_RDWR | O_APPEND);
-  if (fd < 0 || (torn_at_ && !cut_off(fd))) return false;
-  struct stat now {};
-  if (::fstat(fd, &now) != 0) return false;
-  if (write_all(system_disk(), fd, bytes)) return true;
-  torn_at_ = static_cast<size_t>(now.st_size);
-  cut_off(fd);
-  return false;
-}
+bool FeedFiles::append(std::string_view bytes) { return open_to_append() && back_.append(bytes); }
 
-bool FeedFiles::cut_off(int fd) {
-  if (system_disk().truncate(fd, *torn_at_) != 0) return false;
-  torn_at_.reset();
-  return true;
-}
-
-bool FeedFiles::cut(size_t size) {
-  return ::truncate(paths_[at(Part::kBack)].c_str(), static_cast<off_t>(size)) == 0;
+void FeedFiles::cut(size_t size) {
+  back_.close();
+  whole_ = size;
+  open_to_append();  // where that fails it is cut before anything is appended
 }
 
 bool FeedFiles::begin(std::string_view head) {
-  close(Part::kBack);
-  LastingFile file(paths_[at(Part::kBack)].string());
+  LastingFile file(path(Part::kBack).string(), disk_);
   if (!file.replace(std::string(head))) return false;
-  torn_at_.reset();
+  forget();
   return true;
 }
 
 bool FeedFiles::promote() {
-  close(Part::kFront);
-  close(Part::kBack);
-  return !torn_at_ && ::rename(paths_[at(Part::kBack)].c_str(), paths_[at(Part::kFront)].c_str()) == 0;
+  if (!append("")) return false;  // its end is torn, and a front is read whole
+  if (disk_.rename(path(Part::kBack), path(Part::kFront)) != 0) return false;
+  forget();
+  return true;
 }
 
 bool FeedFiles::drop_front() {
-  close(Part::kFront);
-  std::error_code failed;
-  std::filesystem::remove(paths_[at(Part::kFront)], failed);
-  return !failed;
+  if (disk_.unlink(path(Part::kFront)) != 0 && errno != ENOENT) return false;
+  close_readers();
+  return true;
 }
 
 std::pair<std::uintmax_t, std::uintmax_t> FeedFiles::sizes() const {
--- a/relay/feed_files.h
+++ b/relay/feed_files.h
@@ -3,24 +3,28 @@
 // over the process's death, not over the machine's.
 #pragma once
 
+#include <array>
 #include <filesystem>
 #include <optional>
 
 #include "../feeds/outcome_log.h"
+#include "append_file.h"
 
 namespace firspool::relay {
 
+// Promised beside what LogFiles says, as AppendFile promises it: nothing stands behind a part of a record,
+// in any order of failures. Reading a whole file throws DiskFault where it cannot be read.
 class FeedFiles : public umberhoist::feeds::LogFiles {
  public:
-  FeedFiles(const std::filesystem::path& folder, int place);
+  FeedFiles(const std::filesystem::path& folder, int place, Disk& disk = system_disk());
   ~FeedFiles() override;
   FeedFiles(const FeedFiles&) = delete;
   FeedFiles& operator=(const FeedFiles&) = delete;
 
   std::string read(Part part) override;
-  std::string read(Part part, size_t offset, size_t length) override;
+  std::string read(Part part, size_t offset, size_t length) override;  // shorter where it cannot be read
   bool append(std::string_view bytes) override;
-  bool cut(size_t size) override;
+  void cut(size_t size) override;
   bool begin(std::string_view head) override;
   bool promote() override;
   bool drop_front() override;
@@ -31,13 +35,18 @@
   std::pair<std::uintmax_t, std::uintmax_t> sizes() const;
 
  private:
-  int open(Part part, int flags);
-  void close(Part part);
-  bool cut_off(int fd);
-
-  std::filesystem::path paths_[2];  // by part
-  int fds_[2] = {-1, -1};
-  std::optional<size_t> torn_at_;  // the back ends there in what could not be cut off: nothing may follow
+  static constexpr size_t kParts = 2;
+
+  const std::filesystem::path& path(Part part) const { return paths_[static_cast<size_t>(part)]; }
+  int open_to_read(Part part);
+  void close_readers();
+  bool open_to_append();
+
+  Disk& disk_;
+  std::array<std::filesystem::path, kParts> paths_;  // by part
+  std::array<int, kParts> readers_;                  // descriptors, by part; -1: none
+  AppendFile back_;
+  std::optional<size_t> whole_;  // what counts of a back that is not open to be appended to yet; none: all
 };
 
 }  // namespace firspool::relay
--- a/relay/outcomes.cpp
+++ b/relay/outcomes.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <random>
 
+#include "disk_faults.h"
 #include "log.h"
 
 namespace firspool::relay {
@@ -43,6 +44,8 @@
       own_files_(config.state, place),
       other_files_(config.state, Place::kPlaces - 1 - place) {
   own_.emplace(own_files_, limits_, fresh_);
+  read_other();
+  if (!other_) throw DiskFault(kFileUnreadable, config.state, "has an outcome log that cannot be read", EIO);
 }
 
 void Outcomes::retune(const Config& config) {
@@ -130,12 +133,21 @@
 void Outcomes::trim() { own_->trim(wall_ms()); }
 
 std::vector<const feeds::OutcomeLog*> Outcomes::logs() {
-  if (const auto sizes = other_files_.sizes(); !other_ || sizes != other_sizes_) {
-    other_sizes_ = sizes;
-    other_files_.forget();
+  read_other();
+  return {&*own_, &*other_};
+}
+
+// Where its files cannot be read just now, it stays as it was read last.
+void Outcomes::read_other() {
+  const auto sizes = other_files_.sizes();
+  if (other_ && sizes == other_sizes_) return;
+  other_files_.forget();
+  try {
     other_.emplace(other_files_, limits_, 0, false);
+    other_sizes_ = sizes;
+  } catch (const DiskFault& fault) {
+    log_event(LogLevel::kWarning, "feed_log_unreadable", fault.line(), {{"reason", fault.code()}});
   }
-  return {&*own_, &*other_};
 }
 
 }  // namespace firspool::relay
--- a/relay/outcomes.h
+++ b/relay/outcomes.h
@@ -20,7 +20,8 @@
 
 class Outcomes {
  public:
-  // `place`: of this process's journal. Throws nothing: a log that cannot be written waits.
+  // `place`: of this process's journal. Throws DiskFault where a log cannot be read; one that cannot be
+  // written waits.
   Outcomes(const Config& config, int place);
 
   // The outcome of a message that ends now, for the journal's record of it.
@@ -40,6 +41,7 @@
   size_t waiting() const { return waiting_.size(); }
 
  private:
+  void read_other();
   Ended record_of(const umberhoist::feeds::Outcome& outcome) const;
   // Those of the log that it lacks, by number; one that was cut is begun anew.
   static std::map<uint64_t, umberhoist::feeds::Outcome> missing(umberhoist::feeds::OutcomeLog& log,
--- a/tests/failing_disk.h
+++ b/tests/failing_disk.h
@@ -34,6 +34,11 @@
     if (fails(0.1)) return -1;
     return Disk::read(file, bytes, chance(0.2) ? between(1, count) : count);
   }
+  ssize_t read_at(int file, void* bytes, size_t count, size_t offset) override {
+    if (!killed && interrupted()) return -1;
+    if (fails(0.1)) return -1;
+    return Disk::read_at(file, bytes, chance(0.2) ? between(1, count) : count, offset);
+  }
   ssize_t write(int file, const void* bytes, size_t count) override {
     const size_t cut = between(0, count - 1);
     if (dies()) return Disk::write(file, bytes, cut) < 0 ? -1 : error(EIO);
--- a/tests/feeds_fleet.h
+++ b/tests/feeds_fleet.h
@@ -119,6 +119,7 @@
     }
   }
 
+  MemoryFiles& files(size_t i) { return relays_[i].files; }
   Service& service(size_t i) { return *relays_[i].service; }
   pcg64& chance() { return chance_; }
 
--- a/tests/feeds_play_test.cpp
+++ b/tests/feeds_play_test.cpp
@@ -92,6 +92,37 @@
   EXPECT_LT(sum.in_gaps, sum.taken);
 }
 
+// Its relay does not answer then, as if it were out of reach; nothing is said to be gone.
+TEST(FeedPlay, ALogThatCannotBeReadJustNowIsMissing) {
+  Fleet fleet(1);
+  fleet.loss = 0;
+  fleet.run(2 * kSecond);
+  for (int n = 0; n < 8; ++n) fleet.end_message(0);
+  const auto told = [&](size_t at, auto command) {
+    std::optional<Service::Reply> out;
+    command([&](const Service::Reply& reply) { out = reply; });
+    fleet.carry(at);
+    fleet.run(fleet.now + 3 * kSecond);
+    return std::get<json>(out.value());
+  };
+  for (const size_t at : {size_t{0}, size_t{1}}) {  // its own log, and another relay's
+    const json session = told(at, [&](auto answer) { fleet.service(at).open(fleet.now, kFeed, {}, answer); });
+    const auto read = [&] {
+      return told(at, [&](auto answer) {
+        fleet.service(at).read(fleet.now, session.at("session"), session.at("cursor"), 50, answer);
+      });
+    };
+    fleet.files(0).unreadable = true;
+    const json none = read();
+    EXPECT_TRUE(none.at("outcomes").empty());
+    EXPECT_TRUE(none.at("gaps").empty());
+    EXPECT_FALSE(none.at("missing").empty());
+    fleet.files(0).unreadable = false;
+    read();  // it is heard again
+    EXPECT_FALSE(read().at("outcomes").empty());
+  }
+}
+
 TEST(FeedPlay, TwoSessionsOfOneSubscriptionFenceEachOther) {
   Fleet fleet(1);
   fleet.run(2 * kSecond);
--- a/tests/memory_files.h
+++ b/tests/memory_files.h
@@ -8,19 +8,17 @@
 struct MemoryFiles : LogFiles {
   std::string front, back;
   bool full = false;
+  bool unreadable = false;  // as a disk that fails for a moment
 
   std::string read(Part part) override { return part == Part::kFront ? front : back; }
   std::string read(Part part, size_t offset, size_t length) override {
-    return (part == Part::kFront ? front : back).substr(offset, length);
+    return unreadable ? "" : (part == Part::kFront ? front : back).substr(offset, length);
   }
   bool append(std::string_view bytes) override {
     if (!full) back += bytes;
     return !full;
   }
-  bool cut(size_t size) override {
-    back.resize(size);
-    return true;
-  }
+  void cut(size_t size) override { back.resize(size); }
   bool begin(std::string_view head) override {
     if (!full) back = head;
     return !full;
