--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -14,6 +14,8 @@
 
 using nlohmann::json;
 
+constexpr Time kWriteDelay = 150'000;  // a relay may be held up for so long between its clock and its write
+
 std::string scalar(const json& value) { return value.is_string() ? value.get<std::string>() : value.dump(); }
 
 void flatten_into(const json& value, const std::string& path, std::string& out) {
@@ -74,6 +76,7 @@
   const json& settings = root.at("settings");
   check_classes(settings);
   out.settings = parse_settings(flatten(settings));
+  out.settings.write_delay = kWriteDelay;
   out.names.zones = settings.at("azs").get<std::vector<std::string>>();
   out.names.kinds = settings.at("kinds").get<std::vector<std::string>>();
   out.access = umberhoist::access::parse_rules(settings);
--- a/src/messages.h
+++ b/src/messages.h
@@ -9,8 +9,7 @@
 constexpr Time kPauseLeast = 20 * kMs;  // a repeat's random pause: long enough to leave the moment of failure
 constexpr double kUsualDevs = 2;  // hardly an answer comes by so many mean deviations sooner than is usual
 constexpr int kUsualSeen = 5;     // so many served calls tell how long one usually takes
-constexpr Time kWindowMargin =
-    200 * kMs;  // a caller may be held up for 150 ms before its byte, which is under way
+constexpr Time kWindowMargin = 50 * kMs;  // a repeat's bytes are under way, and clocks differ a little
 
 // A message's worth for each second of a slot, negated: the most comes first; its target, and its number.
 using Candidate = std::tuple<double, Time, uint64_t>;
@@ -141,7 +140,8 @@
     const double soonest = std::max(0.0, d.usual.mean - kUsualDevs * d.usual.dev);
     if (d.usual.seen >= kUsualSeen) at = std::min(at, m.due - micros(soonest));
     if (!m.ran || m.rules->effect != Effect::kKeyed) return at;
-    return std::min(at, m.ran_sent + m.rules->key_window - s_.set.tick - kWindowMargin);
+    const Time margin = s_.set.tick + kWindowMargin + s_.set.write_delay;
+    return std::min(at, m.ran_sent + m.rules->key_window - margin);
   }
 
   double worth_at(const Message& m, Time at) const {
--- a/tests/window_test.cpp
+++ b/tests/window_test.cpp
@@ -11,6 +11,7 @@
   Settings s = plain_settings();
   s.classes[0].effect = Effect::kKeyed;
   s.classes[0].key_window = kSecond;
+  s.write_delay = kHeldUp;
   Relay relay(s);
   const auto first = all_of<Send>(relay.step(0, {members({member(1), member(2)}), relay.message(1, 0)}));
   ASSERT_EQ(first.size(), 1u);
