Let the lab's subscriber keep to a cursor that it showed at an opening

Traced in a play by the outcome's number, 37 of one origin: at 3.893 s the subscriber opened with a cursor at 41, which the fleet remembers from then on (reconcile.h: shown ahead of remembered); it died, went back to an older state at 36, and at 4.232 s opened without a cursor, as it stood beyond all that it had acknowledged (32): it was given what follows 41. The relay does what its page says; the lab counted cursors of acknowledgements alone as shown.

--- a/lab/oracle_feeds_owed.cpp
+++ b/lab/oracle_feeds_owed.cpp
@@ -55,8 +55,13 @@
       } else if (covered(s, id, m)) {
         ++hidden[m.relay];
       } else {
+        const auto place = places_.find(id);
+        const std::string where = place == places_.end()
+                                      ? ""
+                                      : " (outcome " + std::to_string(place->second.second) + " of origin " +
+                                            place->second.first + ")";
         verdict_.broke(now, m.relay,
-                       name + " was never given message " + id + ", which was " + m.answer + " at " +
+                       name + " was never given message " + id + where + ", which was " + m.answer + " at " +
                            std::to_string(m.ended) + " s, and no gap was said");
       }
     }
--- a/lab/subscribers.h
+++ b/lab/subscribers.h
@@ -45,7 +45,7 @@
     bool off = false;    // its customer is no more
     Saved state;
     std::vector<Saved> snapshots;  // some, oldest first
-    Position shown;                // in acknowledgements
+    Position shown;                // in acknowledgements and openings: the fleet may remember it
     int life = 0;
     int relay = -1;
     std::string session;
@@ -59,6 +59,7 @@
   bool removed(One& one);  // its customer is no more: it ends
   void connect(One& one);
   void open(One& one);
+  void show(One& one);  // its cursor, to the fleet
   void opened(One& one, const FeedOpened& reply, bool shown);
   void read(One& one);
   void took(One& one, const FeedBatch& batch);
