Look in each step at what changed, not at each endpoint of the list

Cause: forget_gone, tell_avoided, settle and remember went over all hosts and destinations in each step, changed() over all hosts for each lane, and the relay's facts were compared host by host for each change of one: CPU grew with the list. Change: sets of what changed (touched destinations, hosts that are gone, a count of avoided hosts with its expiry); told waits of held messages' destinations only; a list of changes compares its own hosts.

--- a/relay/known.cpp
+++ b/relay/known.cpp
@@ -11,6 +11,11 @@
 const std::string kHost = "host ";  // names of what is remembered
 const std::string kDestination = "destination ";
 
+void remember(Journal& journal, const ListedHost& host) {
+  if (host.id.empty()) return;  // it moved to another cell, and is listed there
+  journal.remember(kHost + host.id, host.member.listing == Listing::kGone ? "" : host.text);
+}
+
 }  // namespace
 
 Known read_known(const std::map<std::string, std::string>& facts, const ListNames& names) {
@@ -41,10 +46,13 @@
   return out;
 }
 
-void remember(Journal& journal, const Directory& directory) {
-  for (const auto& [handle, host] : directory.hosts()) {
-    if (host.id.empty()) continue;  // it moved to another cell, and is listed there
-    journal.remember(kHost + host.id, host.member.listing == Listing::kGone ? "" : host.text);
+void remember(Journal& journal, const Directory& directory, const MembersChanged& change) {
+  if (change.form == MembersChanged::Form::kFull) {
+    for (const auto& [handle, host] : directory.hosts()) remember(journal, host);
+  } else {
+    for (const Member& member : *change.members) {
+      if (const ListedHost* host = directory.find(member.endpoint)) remember(journal, *host);
+    }
   }
   journal.remember(Journal::kRevision, std::to_string(directory.revision()));
 }
--- a/relay/known.h
+++ b/relay/known.h
@@ -18,8 +18,9 @@
 // `names` are those of the settings now. Throws std::exception on what is no fact of hosts or destinations.
 Known read_known(const std::map<std::string, std::string>& facts, const ListNames& names);
 
-// Facts that are as they were are not written again.
-void remember(Journal& journal, const Directory& directory);
+// Facts that are as they were are not written again. `change`: what the directory made of the list that it
+// took over last; of a list of changes only those are looked at.
+void remember(Journal& journal, const Directory& directory, const MembersChanged& change);
 void remember(Journal& journal, const DestinationMemory& memory);
 
 // The list as it is known, read with the names of the settings as they are now.
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -96,8 +96,8 @@
 
 void Relay::members_changed(std::optional<MembersChanged> change) {
   if (!change) return;
+  remember(custody_.journal(), directory_, *change);
   happened(std::move(*change));
-  remember(custody_.journal(), directory_);
 }
 
 // Only now messages are taken on or resumed: what discovery had to tell at once has been heard.
--- a/src/connections.h
+++ b/src/connections.h
@@ -56,6 +56,7 @@
     host.avoid_until = s_.now + std::min(kAvoidMost, kAvoidLeast << std::min(host.fails, 3));
     ++host.fails;
     host.conns = 0;
+    s_.avoided_counted = false;
   }
 
  private:
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -90,9 +90,12 @@
     Host* best = nullptr;
     std::pair<int, double> best_cost;
     const Way way = messages_.best_way(m, d);
+    const Lane* lane = nullptr;  // of the host before: most share one
+    Time admitted = 0;
     for (const auto& [endpoint, host] : d.hosts) {
       if (!host->ready() || !messages_.may_go(m, *host, way)) continue;
-      const Time at = std::max(limits_.admits(*host->lane), messages_.granted(m, *host));
+      if (std::exchange(lane, host->lane) != host->lane) admitted = limits_.admits(*host->lane);
+      const Time at = std::max(admitted, messages_.granted(m, *host));
       s_.wake(at);
       if (at > s_.now) continue;
       const std::pair cost{messages_.way(m, host->member).rank, cost_of(*host)};
@@ -106,7 +109,8 @@
   double cost_of(const Host& host) {
     const Latency& latency = host.latency.seen > 0 ? host.latency : s_.latency_of(host);
     // The other relays' calls are not seen, but they do as this one does: the same would look best to all.
-    const double others = std::max(0, s_.set.relays - kSeen) * host.sent.per_second(s_.now) * latency.mean;
+    const int unseen = std::max(0, s_.set.relays - kSeen);
+    const double others = unseen > 0 ? unseen * host.sent.per_second(s_.now) * latency.mean : 0;
     double cost = latency.mean * (1 + 0.5 * (host.calls + others)) / std::max(0.1, host.lane->room);
     if (host.member.zone != s_.set.zone) cost += kSecondsPerPrice * s_.set.price_cross_zone;
     if (connections_.needs_new(host)) cost += kSecondsPerPrice * s_.set.price_handshake;
@@ -124,7 +128,10 @@
 
   void send(Message& m, Destination& d, const Host& host, const Attempt& attempt) {
     host.lane->scouts += attempt.scout;
-    if (m.repeat) d.tokens -= kToken;
+    if (m.repeat) {
+      d.tokens -= kToken;
+      s_.touch(m.destination);
+    }
     messages_.pay(m, host);
     m.repeat = false;
     m.out = true;
--- a/src/outages.h
+++ b/src/outages.h
@@ -26,11 +26,13 @@
     l.back_since = e.back_since;
     l.base = e.base;
     l.cold = {seconds(s_.random.between(0, kSecond)), s_.now};
+    s_.turned(e.destination);
     watch(l);
   }
 
   void remember() {
-    for (auto& [number, d] : s_.destinations) {
+    for (const int number : std::exchange(s_.touched, {})) {
+      Destination& d = s_.destinations[number];
       DestinationMemory next{number, d.tokens - d.tokens % kToken};
       const Lane& l = s_.lane({number, Endpoint{}});
       if (l.out_since != 0) next = {number, next.tokens, l.out_since, l.back_since, l.base};
@@ -47,8 +49,10 @@
     if (l.suspected && attempt.sent <= l.out_since) {  // the overdue calls were only slow
       log(l, "only slow");
       l.out_since = 0;
+      s_.turned(l.key.first);
     } else if (l.back_since == 0 && attempt.sent > l.out_since) {
       l.back_since = s_.now;
+      s_.turned(l.key.first);
       l.suspected = false;
       log(l, "back, cold");
     }
@@ -68,6 +72,7 @@
     // Failures after the return start the ramp again; answers to calls from before it tell nothing new.
     if (l.back_since != 0 && l.hard >= kAgainStreak && attempt.sent > l.back_since) {
       l.back_since = 0;
+      s_.turned(l.key.first);
       log(l, "fails again");
     }
     // A wait longer than a limit's span tells when a shut destination opens: its return begins there.
@@ -101,6 +106,7 @@
       if (l.out() || s_.now - l.back_since < s_.set.cold) return true;
       log(l, "warm");
       l.out_since = 0;
+      s_.turned(l.key.first);
       return true;
     }
     const bool dead = l.hard >= kDeadStreak && s_.now - l.hard_since >= kDeadSpan;
@@ -117,6 +123,7 @@
     l.suspected = suspected;
     l.cold = {seconds(s_.random.between(0, kSecond)), s_.now};
     l.probe_ok = false;
+    s_.turned(l.key.first);
     log(l, std::string("outage, ") + evidence +
                "; served before: " + std::to_string(std::lround(60 * l.base)) + " a minute");
   }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -88,12 +88,13 @@
       if (left >= 0 && left < kUsedUp) l.streak_since = kNever;
     } else if (ok) {
       d.tokens = std::min(kBucketCap, d.tokens + 1);
+      s_.touch(host.member.destination);
       host.latency.add(seconds(e.took));
       kind.latency.add(seconds(e.took));
       learn_latency(d, kind, e.took);
       if (d.usual.seen == 0 || e.took < micros(4 * d.usual.mean)) d.usual.add(seconds(e.took));
       host.fails = 0;
-      host.avoid_until = 0;
+      if (std::exchange(host.avoid_until, 0) != 0) s_.avoided_counted = false;
       limits_.served(l);
       outages_.served(attempt, l);
     } else {
--- a/src/refusals.h
+++ b/src/refusals.h
@@ -17,12 +17,11 @@
 
   // Ends what there is no room for, and what has no hope of an answer in time.
   void settle() {
-    for (auto& [number, d] : s_.destinations) {
-      d.open = kNever;
-      for (const auto& [endpoint, host] : d.hosts)
-        if (host->ready()) d.open = std::min(d.open, host->lane->wait_until);
-      if (d.open == kNever) d.open = 0;
-    }
+    std::set<int> wanted;
+    for (const auto& [id, m] : s_.messages)
+      if (!m.out) wanted.insert(m.destination);
+    for (const int number : wanted)
+      if (const auto d = s_.destinations.find(number); d != s_.destinations.end()) open(d->second);
     const Destination unlisted;
     for (auto it = s_.messages.begin(); it != s_.messages.end();) {
       const Message& m = (it++)->second;
@@ -92,6 +91,16 @@
   }
 
  private:
+  // When told waits let one of its hosts be called; any time that is over is as good as another.
+  void open(Destination& d) const {
+    d.open = kNever;
+    for (const auto& [endpoint, host] : d.hosts) {
+      if (host->ready()) d.open = std::min(d.open, host->lane->wait_until);
+      if (d.open <= s_.now) return;
+    }
+    if (d.open == kNever) d.open = 0;
+  }
+
   void give_up(const Message& m, Reason reason, Time wait = 0) {
     s_.tell(messages_.refusable(m) ? Action{Refuse{m.id, come_again(m, reason, wait), reason}}
                                    : Action{Fail{m.id}});
--- a/src/state.h
+++ b/src/state.h
@@ -140,6 +140,13 @@
   }
 
   void tell(Action action) { out->push_back(std::move(action)); }
+  // What is remembered of a destination may be another now.
+  void touch(int destination) { touched.insert(destination); }
+  // A destination went out or came back: its endpoints are avoided, or are not any more.
+  void turned(int destination) {
+    touch(destination);
+    avoided_counted = false;
+  }
   void wake(Time at) { wake_at = at > now ? std::min(wake_at, at) : wake_at; }
 
   Lane& lane(const LaneKey& key) {
@@ -173,6 +180,9 @@
   std::map<Endpoint, Host> hosts;
   std::map<int, Destination> destinations;
   std::map<LaneKey, Lane> lanes;
+  // A step looks at what changed, however long the list is.
+  std::set<int> touched;         // destinations, since the last step
+  bool avoided_counted = false;  // the endpoints that are passed over are those that were counted last
 };
 
 }  // namespace firspool::detail
