Add closed-loop clients, a crowd, signals in series and the rolling soak to the lab

Change: load.closed_loop (connections that send the next request at the last one's answer, up to the relay's end), load.crowd (silent, half a request, asked once), a roll's signals, faults of kind reload, lab/scenarios/rolling-soak.toml; the building of a request stands in one place for both kinds of clients.

--- a/lab/clients.cpp
+++ b/lab/clients.cpp
@@ -1,8 +1,6 @@
 #include "clients.h"
 
-#include <xxhash.h>
-
-#include "rule_plan.h"
+#include "request.h"
 
 namespace umberhoist::lab {
 namespace {
@@ -12,10 +10,6 @@
 constexpr Range kLostAfter = {0.81, 2.0};  // what a lost machine held comes again
 constexpr int kMostIdle = 64;
 
-Effect effect_of(const std::string& name) {
-  return name == "safe" ? Effect::kSafe : name == "keyed" ? Effect::kKeyed : Effect::kUnsafe;
-}
-
 }  // namespace
 
 Clients::Clients(World& world, Fleet& fleet)
@@ -95,35 +89,21 @@
   if (now >= due - 0.001) return finish(m);
   const int relay = pick();
   if (relay < 0) return again(m, 0.2, false, false);
+  Wanted wanted;
+  wanted.relay = relay;
+  wanted.message_class = planned.message_class;
+  wanted.tenant = planned.tenant;
+  wanted.destination = planned.destination;
+  wanted.due = due;
+  wanted.key = message.key;
+  wanted.refused = refused;
+  wanted.silent = silent;
+  Request request = make_request(world_, wanted);
   auto one = std::make_shared<Try>();
   one->message = m;
   one->relay = relay;
-  one->id = hex(world_.chance());
-  const Effect effect = effect_of(c.effect);
-  const std::string key = effect == Effect::kKeyed ? message.key : "";
-  std::string facts = "c=" + c.name;
-  facts += ",t=" + world_.scenario.tenants[static_cast<size_t>(planned.tenant)].name;
-  facts += ",d=" + std::to_string(static_cast<int64_t>((due - now) * 1000));
-  if (!key.empty()) facts += ",k=" + key;
-  facts += ",dest=" + std::to_string(planned.destination);
-  if (refused) facts += ",r=1";
-  if (silent) facts += ",again=1";
-  std::string body = "{\"session\":\"" + one->id + "\"}";
-  body.resize(std::max(body.size(), static_cast<size_t>(world_.scenario.load.body_bytes)), ' ');
-  one->request = resp({"MSG.PUT", "0000000000000000", one->id, facts, body});
-  HandIn hand;
-  hand.relay = relay;
-  hand.effect = effect;
-  hand.key_ttl = c.key_ttl_s;
-  hand.destination = planned.destination;
-  hand.due = due;
-  hand.body = XXH64(body.data(), body.size(), 0);
-  hand.key = key;
-  world_.oracles.handed_in(one->id, std::move(hand));
-  const Scenario& s = world_.scenario;
-  world_.parts.handed_in(now, one->id, relay,
-                         {s.tenants[static_cast<size_t>(planned.tenant)].name, c.name, planned.destination,
-                          zone_name(s.zone_of(relay))});
+  one->id = std::move(request.id);
+  one->request = std::move(request.bytes);
   tries_[one->id] = one;
   if (refused || silent) ++message.tries;
   send(one, false);
--- a/lab/fault.cpp
+++ b/lab/fault.cpp
@@ -34,7 +34,7 @@
 void read(TableReader& in, FaultSpec& out) {
   in.text("kind", out.kind,
           {"kill", "term", "stop", "roll", "partner", "limit", "drain", "discovery", "surge", "hot", "net",
-           "disk", "policy", "resubscribe", "join", "leave"});
+           "disk", "policy", "resubscribe", "join", "leave", "reload"});
   if (out.kind.empty()) throw Unusable("a fault has no kind");
   in.text("state", out.state,
           {"down", "silent", "hung", "slow", "lossy", "errors", "shut", "mute", "late", "aborted", "rules",
@@ -51,6 +51,7 @@
   in.range("delay_ms", out.delay_ms);
   in.range("duplicate", out.duplicate);
   in.range("reorder", out.reorder);
+  in.number("signals", out.signals);
   in.number("stream", out.stream);
   if (out.kind == "partner" && out.state.empty()) throw Unusable("a partner's fault has no state");
   if (out.kind == "discovery" && out.state != "mute" && out.state != "late") {
@@ -100,6 +101,8 @@
     f.duplicate = spec.duplicate.draw(chance);
     f.reorder = spec.reorder.draw(chance);
     f.one_way = spec.direction == "one";
+    f.signals = spec.signals;
+    if (f.kind == "reload") f.every = spec.every_s.draw(chance);
     if (f.kind == "join" || f.kind == "leave") {
       f.targets = last(spec, relays, chance);
     } else if (f.kind == "resubscribe") {
--- a/lab/fault.h
+++ b/lab/fault.h
@@ -22,7 +22,8 @@
   Range share = {0, 0};  // of relays, partners or pairs; 0: `count` of them
   Range count = {1, 1};
   Range factor = {1, 1};   // slow, limit, surge, hot
-  Range every_s = {1, 1};  // roll
+  Range every_s = {1, 1};  // roll, reload
+  int signals = 1;         // term, roll: SIGTERM comes so many times
   Range loss = {0, 0};     // net
   Range delay_ms = {0, 0};
   Range duplicate = {0, 0};
@@ -45,6 +46,8 @@
   double delay = 0;  // seconds
   double duplicate = 0;
   double reorder = 0;
+  double every = 1;  // reload
+  int signals = 1;
   bool one_way = false;
   std::vector<int> targets;  // relays, or destinations
   bool of_partners() const;  // else of relays
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -36,9 +36,11 @@
 
   void join(int relay);  // starts one that was not there from the start
   void kill(int relay, double down_s, const std::string& folder);
-  void term(int relay, double down_s, const std::string& folder);  // SIGKILL follows if it does not end
-  void pause(int relay, double lasts);                             // SIGSTOP, SIGCONT
-  void fill_disk(int relay, double lasts);                         // no file of it may grow
+  // SIGTERM, so many times; SIGKILL follows if it does not end.
+  void term(int relay, double down_s, const std::string& folder, int signals = 1);
+  void reload(int relay);                   // SIGHUP
+  void pause(int relay, double lasts);      // SIGSTOP, SIGCONT
+  void fill_disk(int relay, double lasts);  // no file of it may grow
 
   // SIGTERM to all that run; calls back once none is left.
   void end(std::function<void()> ended);
--- a/lab/fleet_faults.cpp
+++ b/lab/fleet_faults.cpp
@@ -11,6 +11,12 @@
 
 namespace fs = std::filesystem;
 
+namespace {
+
+constexpr double kNextSignal = 0.04;  // seconds
+
+}  // namespace
+
 void Fleet::kill(int relay, double down_s, const std::string& folder) {
   Relay& r = of(relay);
   if (r.pid <= 0 || r.state == State::kDown || r.state == State::kEnding) return;
@@ -23,7 +29,7 @@
   ::kill(r.pid, SIGKILL);
 }
 
-void Fleet::term(int relay, double down_s, const std::string& folder) {
+void Fleet::term(int relay, double down_s, const std::string& folder, int signals) {
   Relay& r = of(relay);
   if (r.state != State::kUp) return;
   world_.oracles.down(world_.now(), relay);
@@ -34,6 +40,16 @@
   r.folder = folder;
   if (went) went(relay);
   ::kill(r.pid, SIGTERM);
+  for (int i = 1; i < signals; ++i) {
+    world_.after(kNextSignal * i, [this, relay, pid = r.pid] {
+      if (of(relay).pid == pid) ::kill(pid, SIGTERM);
+    });
+  }
+}
+
+void Fleet::reload(int relay) {
+  const Relay& r = of(relay);
+  if (r.pid > 0 && r.state != State::kStarting) ::kill(r.pid, SIGHUP);
 }
 
 void Fleet::pause(int relay, double lasts) {
--- a/lab/play.cpp
+++ b/lab/play.cpp
@@ -9,6 +9,8 @@
 #include <fstream>
 
 #include "clients.h"
+#include "closed_loop.h"
+#include "crowd.h"
 #include "hit_samples.h"
 #include "strikes.h"
 #include "views.h"
@@ -60,6 +62,8 @@
     if (scenario.fleet) network_ = std::make_unique<PairNetwork>(world_, scenario.relays);
     fleet_ = std::make_unique<Fleet>(world_, options.folder, options.program, agents_, network_.get());
     clients_ = std::make_unique<Clients>(world_, *fleet_);
+    closed_loop_ = std::make_unique<ClosedLoop>(world_, *fleet_);
+    crowd_ = std::make_unique<Crowd>(world_, *fleet_);
     if (scenario.fleet) views_ = std::make_unique<Views>(world_, *fleet_);
     if (scenario.changes_policy()) {
       if (!scenario.fleet) throw Unusable("a fault changes the policy, but fleet is not true");
@@ -115,6 +119,9 @@
       });
     }
     clients_->start();
+    closed_loop_->start();
+    crowd_->start();
+    world_.after(scenario_.length_s, [this] { closed_loop_->stop(); });
     if (policies_) policies_->start();
     if (subscribers_) subscribers_->start();
     if (hits_) hits_->start();
@@ -140,6 +147,9 @@
     world_.figures.lab_used((own_cpu() - cpu_) / std::max(0.1, end_));
     if (views_) views_->finish();
     if (policies_) policies_->finish();
+    crowd_->stop();
+    crowd_->tell(world_.figures);
+    if (scenario_.load.closed_loop > 0) closed_loop_->tell(world_.figures);
     world_.oracles.finish(end_);
     catch_up();
   }
@@ -181,6 +191,8 @@
   std::unique_ptr<PairNetwork> network_;
   std::unique_ptr<Fleet> fleet_;
   std::unique_ptr<Clients> clients_;
+  std::unique_ptr<ClosedLoop> closed_loop_;
+  std::unique_ptr<Crowd> crowd_;
   std::unique_ptr<Views> views_;
   std::unique_ptr<Policies> policies_;
   std::unique_ptr<Subscribers> subscribers_;
--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -55,6 +55,8 @@
   in.number("honour", out.honour);
   in.range("notice_s", out.notice_s);
   in.number("body_bytes", out.body_bytes);
+  in.number("closed_loop", out.closed_loop);
+  in.range("crowd", out.crowd);
 }
 
 void read(TableReader& in, PartnerSpec& out) {
--- a/lab/scenario.h
+++ b/lab/scenario.h
@@ -45,6 +45,8 @@
   double honour = 0.7;        // clients that heed a told wait
   Range notice_s = {2, 3.8};  // the front hears of a death
   int body_bytes = 200;
+  int closed_loop = 0;   // connections to each relay that send the next request at the last one's answer
+  Range crowd = {0, 0};  // connections to each relay that ask for nothing
 };
 
 struct PartnerSpec {
--- a/lab/strikes.cpp
+++ b/lab/strikes.cpp
@@ -25,7 +25,8 @@
 
 void Strikes::strike_relay(const Fault& f, int r) {
   if (f.kind == "kill") parts_.fleet.kill(r, f.lasts, f.folder);
-  if (f.kind == "term") parts_.fleet.term(r, f.lasts, f.folder);
+  if (f.kind == "term") parts_.fleet.term(r, f.lasts, f.folder, f.signals);
+  if (f.kind == "reload") reload(f, r);
   if (f.kind == "stop") parts_.fleet.pause(r, f.lasts);
   if (f.kind == "join") parts_.fleet.join(r);
   if (f.kind == "leave") parts_.fleet.term(r, -1, "kept");
@@ -37,6 +38,13 @@
   }
 }
 
+// SIGHUP in series, whatever the relay is about just then.
+void Strikes::reload(const Fault& f, int r) {
+  for (double after = 0; after <= f.lasts; after += f.every) {
+    world_.after(after, [this, r] { parts_.fleet.reload(r); });
+  }
+}
+
 void Strikes::strike_network(const Fault& f) {
   if (parts_.network == nullptr) return;  // relays do not talk in this scenario
   const bool cut = f.loss == 0 && f.delay == 0 && f.duplicate == 0 && f.reorder == 0;
--- a/lab/strikes.h
+++ b/lab/strikes.h
@@ -24,6 +24,7 @@
  private:
   void strike_relay(const Fault& f, int relay);
   void strike_network(const Fault& f);
+  void reload(const Fault& f, int r);
   void drain(int partner);
   void tell(double soonest, double latest);
   Partner& partner(int p) { return *parts_.partners[static_cast<size_t>(p)]; }
