Say in one place how a file is opened to append and how bytes are written now

In two tests the time is taken ahead of the send, since taken behind it they could fail a program that is right.

--- a/include/firspool/settings.h
+++ b/include/firspool/settings.h
@@ -76,8 +76,8 @@
   Time max_retry_after = 0;
   Time answer_slack = 0;
   Time drain_grace = 0;
-  Time write_delay =
-      0;  // the caller's own, of no key: it may write a call's first byte so long after the step
+  // The caller's own, of no key: it may write a call's first byte so long after the step.
+  Time write_delay = 0;
   Time ask_every = 0;
   Time order_pause = 0;
   Time cold = 0;              // after an outage a destination is warm within this time
--- a/lab/crowd.cpp
+++ b/lab/crowd.cpp
@@ -71,17 +71,16 @@
   if (one->kind == Kind::kHalfRequest) one->out = "*5\r\n$7\r\nMSG.PUT\r\n$16\r\n0000";
   if (one->kind == Kind::kAskedOnce) one->out = "*1\r\n$4\r\nPING\r\n";
   boost::asio::async_write(one->socket, boost::asio::buffer(one->out), [one](const Error&, size_t) {});
-  struct Drain {
-    static void next(Crowd* crowd, const std::shared_ptr<One>& one) {
-      one->socket.async_read_some(boost::asio::buffer(one->in), [crowd, one](const Error& error, size_t) {
-        if (error == boost::asio::error::operation_aborted || crowd->over_) return;
-        if (!error) return next(crowd, one);
-        ++crowd->ended_;
-        crowd->connect_later(one);
-      });
-    }
-  };
-  Drain::next(this, one);
+  drain(one);
+}
+
+void Crowd::drain(const std::shared_ptr<One>& one) {
+  one->socket.async_read_some(boost::asio::buffer(one->in), [this, one](const Error& error, size_t) {
+    if (error == boost::asio::error::operation_aborted || over_) return;
+    if (!error) return drain(one);
+    ++ended_;
+    connect_later(one);
+  });
 }
 
 }  // namespace umberhoist::lab
--- a/lab/crowd.h
+++ b/lab/crowd.h
@@ -26,6 +26,7 @@
   void connect(const std::shared_ptr<One>& one);
   void connect_later(const std::shared_ptr<One>& one);
   void stay(const std::shared_ptr<One>& one);
+  void drain(const std::shared_ptr<One>& one);  // until the relay ends it
 
   World& world_;
   const Fleet& fleet_;
--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -119,7 +119,7 @@
                                     if (network_ != nullptr && !playing_ && !open(relay)) return again();
                                     r.state = State::kUp;
                                     const double now = world_.now();
-                                    world_.oracles.started(now, relay, now - r.started);
+                                    world_.oracles.processes.started(now, relay, now - r.started);
                                     world_.oracles.ready(now, relay);
                                     world_.parts.serving(now, relay, true);
                                     if (up) up(relay);
--- a/lab/oracle.cpp
+++ b/lab/oracle.cpp
@@ -175,8 +175,6 @@
 
 void Oracles::gone(int relay) { waits_[static_cast<size_t>(relay)].clear(); }
 
-void Oracles::started(double now, int relay, double took) { processes.started(now, relay, took); }
-
 // When what came due while the relay was away is overdue; nothing where it never came back.
 double Oracles::excused_until(int relay, double limit) const {
   for (const Away& away : away_[static_cast<size_t>(relay)]) {
--- a/lab/oracle.h
+++ b/lab/oracle.h
@@ -70,7 +70,6 @@
   void ready(double now, int relay);  // serves, or was woken
   void emptied(int relay);            // its folder: what it held is others'
   void gone(int relay);               // the process has ended: what it was told to wait ends with it
-  void started(double now, int relay, double took);
 
   // The play is over: what is still owed and due is lost.
   void finish(double now);
--- a/relay/append_file.cpp
+++ b/relay/append_file.cpp
@@ -1,5 +1,7 @@
 #include "append_file.h"
 
+#include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -7,9 +9,38 @@
 
 namespace firspool::relay {
 
-bool write_all(Disk& disk, int file, std::string_view bytes) {
+bool AppendFile::open(const std::filesystem::path& path, int flags, std::optional<size_t> whole) {
+  if (is_open()) return true;
+  const int file = disk_.open(path, flags | O_RDWR | O_APPEND);
+  if (file < 0) return false;
+  struct stat now {};
+  if (::fstat(file, &now) != 0) {
+    ::close(file);
+    return false;
+  }
+  const auto size = static_cast<size_t>(now.st_size);
+  const size_t counts = whole.value_or(size);
+  begin(file, counts, counts < size);
+  return true;
+}
+
+bool AppendFile::replace(const std::filesystem::path& path, const std::filesystem::path& fresh,
+                         std::string_view bytes) {
+  const int file = disk_.open(fresh, O_RDWR | O_CREAT | O_TRUNC | O_APPEND);
+  if (file < 0) return false;
+  if (!write_all(file, bytes) || disk_.rename(fresh, path) != 0) {
+    ::close(file);
+    disk_.unlink(fresh);
+    return false;
+  }
+  begin(file, bytes.size(), false);
+  return true;
+}
+
+// Over interruptions and short writes. False: some of the bytes may be there.
+bool AppendFile::write_all(int file, std::string_view bytes) {
   while (!bytes.empty()) {
-    const ssize_t done = disk.write(file, bytes.data(), bytes.size());
+    const ssize_t done = disk_.write(file, bytes.data(), bytes.size());
     if (done < 0 && errno == EINTR) continue;
     if (done <= 0) return false;
     bytes.remove_prefix(static_cast<size_t>(done));
@@ -35,7 +66,7 @@
 
 bool AppendFile::append(std::string_view bytes) {
   if (torn_ && !cut_off()) return false;
-  if (write_all(disk_, file_, bytes)) {
+  if (write_all(file_, bytes)) {
     size_ += bytes.size();
     return true;
   }
--- a/relay/append_file.h
+++ b/relay/append_file.h
@@ -14,6 +14,8 @@
 // choose, and what looks like a record inside a damaged one may be forged.
 #pragma once
 
+#include <filesystem>
+#include <optional>
 #include <string_view>
 
 #include "disk.h"
@@ -27,6 +29,12 @@
   AppendFile(const AppendFile&) = delete;
   AppendFile& operator=(const AppendFile&) = delete;
 
+  // Opens the file to append to it, if it is not open yet. Its first `whole` bytes count, and what stands
+  // behind them is cut off before anything is appended; none: all of it counts. False: it cannot be opened.
+  bool open(const std::filesystem::path& path, int flags, std::optional<size_t> whole = {});
+  // The file is these bytes from now on, written at `fresh` before they take its place, and open. False: it
+  // is as it was.
+  bool replace(const std::filesystem::path& path, const std::filesystem::path& fresh, std::string_view bytes);
   // Takes an open descriptor over, in place of the one that it had. The file's first `whole` bytes count;
   // with `torn` there are more, which are cut off before anything is appended.
   void begin(int file, size_t whole, bool torn);
@@ -42,6 +50,7 @@
   size_t size() const { return size_; }  // of what counts
 
  private:
+  bool write_all(int file, std::string_view bytes);
   bool cut_off();
 
   Disk& disk_;
@@ -50,7 +59,4 @@
   bool torn_ = false;
 };
 
-// All bytes to a descriptor, over interruptions and short writes. False: some may be there.
-bool write_all(Disk& disk, int file, std::string_view bytes);
-
 }  // namespace firspool::relay
--- a/relay/client_session.cpp
+++ b/relay/client_session.cpp
@@ -213,10 +213,6 @@
   state_ = State::kWriting;
   arm(kQuiet);
   out_ = std::move(line) + "\r\n";
-  write();
-}
-
-void Clients::Session::write() {
   write_whole(socket_, boost::asio::buffer(out_),
               [self = shared_from_this()](const boost::system::error_code& error, size_t) {
                 if (self->state_ != State::kWriting) return;
--- a/relay/client_session.h
+++ b/relay/client_session.h
@@ -68,7 +68,7 @@
   void uncount();
   // A request crossed the decision to close: it is read and served before.
   void proceed_once();
-  // What the socket holds, over interruptions; it blocks where that is nothing.
+  // What the socket holds, over interruptions.
   size_t read_now(boost::system::error_code& error);
   // The parser holds no whole request when it is fed: the last byte of each that it finds came with this
   // read.
@@ -76,7 +76,6 @@
   void handle(const std::vector<std::string>& words);
   void answer_last(std::string line);
   void answer(std::string line);
-  void write();
   // A close over unread bytes would reset the connection, and an answer that the peer has not read would go
   // with it: the sending side ends first, and the socket is closed after the peer's end or a bound.
   void linger();
--- a/relay/client_session_end.cpp
+++ b/relay/client_session_end.cpp
@@ -4,7 +4,8 @@
 namespace firspool::relay {
 namespace {
 
-// For the peer's end after ours. With the two above it stays under what the end of the process leaves.
+// For the peer's end after ours. With the times of a request (client_session.cpp) it stays under what the end
+// of the process leaves.
 constexpr auto kLinger = std::chrono::milliseconds(500);
 constexpr size_t kMostDropped = 1024 * 1024;  // bytes
 
--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "answer_fields.h"
 #include "peer_state.h"
+#include "whole_write.h"
 
 namespace firspool::relay {
 namespace {
@@ -121,12 +122,7 @@
 void Upstream::Exchange::push() {
   if (is_stale(socket_)) return broke(Break::kConnection);
   Error error;
-  socket_.non_blocking(true, error);
-  do {
-    if (!error || error == boost::asio::error::interrupted) {
-      sent_ += socket_.write_some(boost::asio::buffer(request_) + sent_, error);
-    }
-  } while (error == boost::asio::error::interrupted);
+  sent_ += write_now(socket_, boost::asio::buffer(request_) + sent_, error);
   if (error && error != boost::asio::error::would_block) return broke(break_by(error));
   if (sent_ == request_.size()) {
     moment_ = Moment::kAwaitingHead;
--- a/relay/feed_files.cpp
+++ b/relay/feed_files.cpp
@@ -1,7 +1,6 @@
 #include "feed_files.h"
 
 #include <fcntl.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -45,17 +44,7 @@
 }
 
 bool FeedFiles::open_to_append() {
-  if (back_.is_open()) return true;
-  const int file = disk_.open(path(Part::kBack), O_RDWR | O_APPEND);
-  if (file < 0) return false;
-  struct stat now {};
-  if (::fstat(file, &now) != 0) {
-    ::close(file);
-    return false;
-  }
-  const auto size = static_cast<size_t>(now.st_size);
-  const size_t whole = whole_.value_or(size);
-  back_.begin(file, whole, whole < size);
+  if (!back_.open(path(Part::kBack), 0, whole_)) return false;
   whole_.reset();
   return true;
 }
@@ -85,9 +74,9 @@
 }
 
 bool FeedFiles::begin(std::string_view head) {
-  LastingFile file(path(Part::kBack).string(), disk_);
-  if (!file.replace(std::string(head))) return false;
-  forget();
+  if (!back_.replace(path(Part::kBack), path(Part::kBack).string() + ".new", head)) return false;
+  close_readers();
+  whole_.reset();
   return true;
 }
 
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -1,7 +1,6 @@
 #include "journal.h"
 
 #include <fcntl.h>
-#include <unistd.h>
 
 #include <cerrno>
 
@@ -178,14 +177,7 @@
   for (const auto& [number, record] : unlogged_) bytes += record;
   if (hits_.begun()) bytes += record::hits(hits_);
   if (bytes.size() > most_file_) return false;
-  const int fresh = disk_.open(fresh_path_, O_RDWR | O_CREAT | O_TRUNC | O_APPEND);
-  if (fresh < 0) return false;
-  if (!write_all(disk_, fresh, bytes) || disk_.rename(fresh_path_, path_) != 0) {
-    ::close(fresh);
-    disk_.unlink(fresh_path_);
-    return false;
-  }
-  file_.begin(fresh, bytes.size(), false);
+  if (!file_.replace(path_, fresh_path_, bytes)) return false;
   hits_owed_ = facts_owed_ = false;
   return true;
 }
--- a/relay/lasting_file.cpp
+++ b/relay/lasting_file.cpp
@@ -1,7 +1,6 @@
 #include "lasting_file.h"
 
 #include <fcntl.h>
-#include <sys/stat.h>
 #include <unistd.h>
 
 #include <array>
@@ -49,32 +48,10 @@
 
 std::string LastingFile::read() const { return read_file(path_, disk_); }
 
-bool LastingFile::open() {
-  if (file_.is_open()) return true;
-  const int file = disk_.open(path_, O_WRONLY | O_CREAT | O_APPEND);
-  if (file < 0) return false;
-  struct stat now {};
-  if (::fstat(file, &now) != 0) {
-    ::close(file);
-    return false;
-  }
-  file_.begin(file, static_cast<size_t>(now.st_size), false);
-  return true;
+bool LastingFile::append(const std::string& bytes) {
+  return file_.open(path_, O_CREAT) && file_.append(bytes);
 }
 
-bool LastingFile::append(const std::string& bytes) { return open() && file_.append(bytes); }
-
-bool LastingFile::replace(const std::string& bytes) {
-  const std::string fresh = path_ + ".new";
-  const int file = disk_.open(fresh, O_WRONLY | O_CREAT | O_TRUNC | O_APPEND);
-  if (file < 0) return false;
-  if (!write_all(disk_, file, bytes) || disk_.rename(fresh, path_) != 0) {
-    ::close(file);
-    disk_.unlink(fresh);
-    return false;
-  }
-  file_.begin(file, bytes.size(), false);
-  return true;
-}
+bool LastingFile::replace(const std::string& bytes) { return file_.replace(path_, path_ + ".new", bytes); }
 
 }  // namespace firspool::relay
--- a/relay/lasting_file.h
+++ b/relay/lasting_file.h
@@ -28,8 +28,6 @@
   size_t size() const { return file_.size(); }  // bytes, once it was written to
 
  private:
-  bool open();
-
   std::string path_;
   Disk& disk_;
   AppendFile file_;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -4,7 +4,6 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -18,6 +17,7 @@
 #include "clients.h"
 #include "config.h"
 #include "custody.h"
+#include "disk_faults.h"
 #include "feed_link.h"
 #include "fleet_link.h"
 #include "handover.h"
@@ -100,8 +100,10 @@
   bool adopt_while_running(const Place& left);
   void adopt_later();
   void notify_overdue(const std::vector<Recovered>& entries);
+  static void log_not_taken_over(const DiskFault& fault);
   void succeed();
   void succeed_later();
+  static void after_pause(boost::asio::steady_timer& timer, std::function<void()> then);
   void heard_as_successor(Word word, const std::string& text);
   bool take_passed(const std::string& text);
   void take_passed_later();
@@ -148,8 +150,8 @@
   std::vector<Recovered> waiting_;    // from before: resumed once this process serves
   std::vector<Recovered> adopted_;    // of what another process left: waits until all of that is written here
   std::set<std::string> notified_;    // of what could not be written here yet, those whose time is over
-  std::deque<std::string> unwritten_;  // as a predecessor passed them on, to be written here yet
-  std::shared_ptr<Link> link_;         // to the other process
+  std::vector<std::string> unwritten_;  // as a predecessor passed them on, to be written here yet
+  std::shared_ptr<Link> link_;          // to the other process
   Upstream upstream_;
   Replies replies_;
   std::optional<AccessLink> access_;   // where customers have rules, or had
--- a/relay/upgrade_predecessor.cpp
+++ b/relay/upgrade_predecessor.cpp
@@ -118,9 +118,8 @@
 }
 
 void Relay::look_for_successor_again() {
-  peer_timer_.expires_after(Handover::kPause);
-  peer_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error && handing_ && !link_) successor_lost();
+  after_pause(peer_timer_, [this] {
+    if (handing_ && !link_) successor_lost();
   });
 }
 
@@ -133,7 +132,7 @@
   try {
     written = custody_.journal().read(left->read());
   } catch (const DiskFault& fault) {
-    log_event(LogLevel::kWarning, "not_taken_over", fault.line(), {{"reason", fault.code()}});
+    log_not_taken_over(fault);
     return look_for_successor_again();
   }
   log_event(LogLevel::kWarning, "successor_gone", "the successor is gone: serving again");
@@ -161,10 +160,7 @@
     share_.ids.clear();
     return;
   }
-  peer_timer_.expires_after(Handover::kPause);
-  peer_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) adopt_later();
-  });
+  after_pause(peer_timer_, [this] { adopt_later(); });
 }
 
 // What the successor did not write is this process's as before.
--- a/relay/upgrade_successor.cpp
+++ b/relay/upgrade_successor.cpp
@@ -79,7 +79,7 @@
   try {
     return adopt(left);
   } catch (const DiskFault& fault) {
-    log_event(LogLevel::kWarning, "not_taken_over", fault.line(), {{"reason", fault.code()}});
+    log_not_taken_over(fault);
     return false;
   }
 }
@@ -89,11 +89,15 @@
   try {
     return Place::take(config_.state, 1 - custody_.journal().place());
   } catch (const DiskFault& fault) {
-    log_event(LogLevel::kWarning, "not_taken_over", fault.line(), {{"reason", fault.code()}});
+    log_not_taken_over(fault);
     return {};
   }
 }
 
+void Relay::log_not_taken_over(const DiskFault& fault) {
+  log_event(LogLevel::kWarning, "not_taken_over", fault.line(), {{"reason", fault.code()}});
+}
+
 // Until the other process ends or says what may be used beside it, it serves and this one does not.
 void Relay::succeed() {
   if (link_ || stopping_since_ != 0) return;
@@ -122,9 +126,13 @@
 }
 
 void Relay::succeed_later() {
-  peer_timer_.expires_after(Handover::kPause);
-  peer_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (!error) succeed();
+  after_pause(peer_timer_, [this] { succeed(); });
+}
+
+void Relay::after_pause(boost::asio::steady_timer& timer, std::function<void()> then) {
+  timer.expires_after(Handover::kPause);
+  timer.async_wait([then = std::move(then)](const boost::system::error_code& error) {
+    if (!error) then();
   });
 }
 
@@ -149,15 +157,8 @@
 }
 
 void Relay::take_passed_later() {
-  passed_timer_.expires_after(Handover::kPause);
-  passed_timer_.async_wait([this](const boost::system::error_code& error) {
-    if (error || !link_) return;
-    const size_t tries = unwritten_.size();
-    for (size_t i = 0; i < tries; ++i) {
-      std::string text = std::move(unwritten_.front());
-      unwritten_.pop_front();
-      if (!take_passed(text)) unwritten_.push_back(std::move(text));
-    }
+  after_pause(passed_timer_, [this] {
+    std::erase_if(unwritten_, [this](const std::string& text) { return take_passed(text); });
     if (!unwritten_.empty()) take_passed_later();
   });
 }
--- a/relay/whole_write.h
+++ b/relay/whole_write.h
@@ -16,6 +16,19 @@
 
 namespace firspool::relay {
 
+// What the system takes at once, over interruptions: bytes. The socket does not block from now on.
+template <typename Socket>
+size_t write_now(Socket& socket, boost::asio::const_buffer bytes, boost::system::error_code& error) {
+  error = {};
+  if (!socket.non_blocking()) socket.non_blocking(true, error);
+  if (error && error != boost::asio::error::interrupted) return 0;
+  size_t written = 0;
+  do {
+    written = socket.write_some(bytes, error);
+  } while (error == boost::asio::error::interrupted);
+  return written;
+}
+
 // One write under way. Done: void(error, bytes that the system has).
 template <typename Socket, typename Done>
 class WholeWrite : public std::enable_shared_from_this<WholeWrite<Socket, Done>> {
@@ -23,25 +36,16 @@
   WholeWrite(Socket& socket, boost::asio::const_buffer bytes, Done done)
       : socket_(socket), bytes_(bytes), done_(std::move(done)) {}
 
-  void begin() {
-    boost::system::error_code error;
-    socket_.non_blocking(true, error);
-    if (error && error != boost::asio::error::interrupted) return finish(error);
-    proceed();
-  }
-
- private:
   void proceed() {
     boost::system::error_code error;
-    while (written_ < bytes_.size() && (!error || error == boost::asio::error::interrupted)) {
-      written_ += socket_.write_some(bytes_ + written_, error);
-    }
+    while (written_ < bytes_.size() && !error) written_ += write_now(socket_, bytes_ + written_, error);
     if (written_ == bytes_.size()) return finish({});
     if (error == boost::asio::error::would_block) return wait();
     if (is_own_want(error)) return after_own_want(socket_.get_executor(), again());
     finish(error);
   }
 
+ private:
   void wait() {
     socket_.async_wait(Socket::wait_write,
                        [self = this->shared_from_this()](const boost::system::error_code& error) {
@@ -70,7 +74,7 @@
 // ends the write with an error. The socket does not block from now on.
 template <typename Socket, typename Done>
 void write_whole(Socket& socket, boost::asio::const_buffer bytes, Done done) {
-  std::make_shared<WholeWrite<Socket, Done>>(socket, bytes, std::move(done))->begin();
+  std::make_shared<WholeWrite<Socket, Done>>(socket, bytes, std::move(done))->proceed();
 }
 
 }  // namespace firspool::relay
--- a/tests/told_waits_test.cpp
+++ b/tests/told_waits_test.cpp
@@ -61,6 +61,18 @@
     client.send(put_bytes(id, facts("safe", 7, life_ms)));
     return client.line();
   }
+  // Its first call is turned away; since when, at the latest, its host's words count.
+  steady_clock::time_point turned_away(const std::string& id, const std::string& headers,
+                                       int life_ms = 60'000) {
+    EXPECT_EQ(put(id, life_ms), "+OK");
+    std::string called;
+    const int at = host.next(called);
+    EXPECT_GE(at, 0);
+    EXPECT_EQ(called, id);
+    const auto told = steady_clock::now();
+    if (at >= 0) host.turn_away(at, headers);
+    return told;
+  }
 };
 
 TEST_F(ToldWait, ASecondShorterOneDoesNotEndTheFirst) {
@@ -70,8 +82,8 @@
   EXPECT_EQ(put("00000000000000a2"), "+OK");
   const int second = host.next(id);
   ASSERT_TRUE(first >= 0 && second >= 0 && first != second);
-  host.turn_away(first, "Retry-After: 1.25\r\n");
   const auto told = steady_clock::now();
+  host.turn_away(first, "Retry-After: 1.25\r\n");
   host.turn_away(second, "Retry-After: 0.1\r\n");
   EXPECT_GE(host.next(id), 0);
   EXPECT_GE(steady_clock::now() - told, milliseconds(1250));
@@ -79,11 +91,7 @@
 
 TEST_F(ToldWait, DecimalsCount) {
   std::string id;
-  EXPECT_EQ(put("00000000000000a1"), "+OK");
-  const int at = host.next(id);
-  ASSERT_GE(at, 0);
-  const auto told = steady_clock::now();
-  host.turn_away(at, "Retry-After: 0.75\r\n");
+  const auto told = turned_away("00000000000000a1", "Retry-After: 0.75\r\n");
   EXPECT_GE(host.next(id), 0);
   EXPECT_GE(steady_clock::now() - told, milliseconds(750));
 }
@@ -104,10 +112,7 @@
 // It ends by its time, with no call in between.
 TEST_F(ToldWait, OneLongerThanTheMessagesTimeEndsIt) {
   std::string id;
-  EXPECT_EQ(put("00000000000000a1", 1000), "+OK");
-  const int at = host.next(id);
-  ASSERT_GE(at, 0);
-  host.turn_away(at, "Retry-After: 30\r\n");
+  turned_away("00000000000000a1", "Retry-After: 30\r\n", 1000);
   const nlohmann::json notice = discovery.notice();
   ASSERT_TRUE(notice.is_object());
   EXPECT_EQ(notice["id"], "00000000000000a1");
@@ -116,10 +121,7 @@
 
 TEST_F(ToldWait, ARestartEndsIt) {
   std::string id;
-  EXPECT_EQ(put("00000000000000a1"), "+OK");
-  const int at = host.next(id);
-  ASSERT_GE(at, 0);
-  host.turn_away(at, "Retry-After: 50\r\n");
+  turned_away("00000000000000a1", "Retry-After: 50\r\n");
   EXPECT_EQ(put("00000000000000a2"), "+OK");
   EXPECT_EQ(host.next(id, 300), -1);
   program.kill();
--- a/tests/watch_program_test.cpp
+++ b/tests/watch_program_test.cpp
@@ -34,59 +34,51 @@
   Socket filler_;
 };
 
-class CrossingNews : public ::testing::TestWithParam<std::string> {};
-
-// The message waits for its connection when its host is told to be leaving, or gone: nothing is begun there.
-TEST_P(CrossingNews, ACallThatStillConnectsIsNotBegun) {
+// A message waits for its connection when news of its host comes; another one's call tells that the news has
+// been heard.
+struct ConnectingCall {
   SlowListener slow;
   Host other, witness;
   Discovery discovery;
   nlohmann::json config = config_json(discovery.address(), {member_json("s-1", slow.address(), 7)});
-  config["settings"]["bounds"]["connect_timeout_s"] = 10.0;
-  config["settings"]["bounds"]["conn_idle_s"] = 1.0;
-  Program program(config);
-  program.start();
-  Socket client = program.client();
-  const std::string facts = "c=keyed,d=60000,k=5c0f6e1a2b3d4c59,dest=";
-  for (const std::string& what :
-       {put_bytes("00000000000000a1", facts + "7"), put_bytes("00000000000000a2", facts + "8")}) {
-    client.send(what);
-    EXPECT_EQ(client.line(), "+OK");
+
+  void is_not_begun_after(const std::vector<nlohmann::json>& news) {
+    config["settings"]["bounds"]["connect_timeout_s"] = 10.0;
+    Program program(config);
+    program.start();
+    Socket client = program.client();
+    const std::string facts = "c=keyed,d=60000,k=5c0f6e1a2b3d4c59,dest=";
+    for (const std::string& what :
+         {put_bytes("00000000000000a1", facts + "7"), put_bytes("00000000000000a2", facts + "8")}) {
+      client.send(what);
+      EXPECT_EQ(client.line(), "+OK");
+    }
+    discovery.tell(list_json(2, false, news));
+    EXPECT_EQ(witness.next().headers.at("x-call-id"), "00000000000000a2");  // the news has been heard
+    Socket late = slow.accept_behind_the_filler();
+    EXPECT_TRUE(late.ended());  // without a byte
+    EXPECT_EQ(other.next().headers.at("x-call-id"), "00000000000000a1");
   }
-  discovery.tell(
-      list_json(2, false,
-                {member_json("s-1", slow.address(), 7, GetParam()), member_json("s-2", other.address(), 7),
-                 member_json("s-3", witness.address(), 8)}));
-  EXPECT_EQ(witness.next().headers.at("x-call-id"), "00000000000000a2");  // the news has been heard
-  Socket late = slow.accept_behind_the_filler();
-  EXPECT_TRUE(late.ended());  // without a byte
-  EXPECT_EQ(other.next().headers.at("x-call-id"), "00000000000000a1");
+};
+
+class CrossingNews : public ::testing::TestWithParam<std::string> {};
+
+// Its host is told to be leaving, or gone: nothing is begun there.
+TEST_P(CrossingNews, ACallThatStillConnectsIsNotBegun) {
+  ConnectingCall call;
+  call.config["settings"]["bounds"]["conn_idle_s"] = 1.0;
+  call.is_not_begun_after({member_json("s-1", call.slow.address(), 7, GetParam()),
+                           member_json("s-2", call.other.address(), 7),
+                           member_json("s-3", call.witness.address(), 8)});
 }
 
 INSTANTIATE_TEST_SUITE_P(Phases, CrossingNews, ::testing::Values("leaving", "left"));
 
 // Its id has another address: what listens at the old one may be of any cell.
 TEST(MovedHost, ACallThatStillConnectsToItsOldAddressIsNotBegun) {
-  SlowListener slow;
-  Host other, witness;
-  Discovery discovery;
-  nlohmann::json config = config_json(discovery.address(), {member_json("s-1", slow.address(), 7)});
-  config["settings"]["bounds"]["connect_timeout_s"] = 10.0;
-  Program program(config);
-  program.start();
-  Socket client = program.client();
-  const std::string facts = "c=keyed,d=60000,k=5c0f6e1a2b3d4c59,dest=";
-  for (const std::string& what :
-       {put_bytes("00000000000000a1", facts + "7"), put_bytes("00000000000000a2", facts + "8")}) {
-    client.send(what);
-    EXPECT_EQ(client.line(), "+OK");
-  }
-  discovery.tell(list_json(
-      2, false, {member_json("s-1", other.address(), 7), member_json("s-3", witness.address(), 8)}));
-  EXPECT_EQ(witness.next().headers.at("x-call-id"), "00000000000000a2");  // the news has been heard
-  Socket late = slow.accept_behind_the_filler();
-  EXPECT_TRUE(late.ended());  // without a byte
-  EXPECT_EQ(other.next().headers.at("x-call-id"), "00000000000000a1");
+  ConnectingCall call;
+  call.is_not_begun_after(
+      {member_json("s-1", call.other.address(), 7), member_json("s-3", call.witness.address(), 8)});
 }
 
 // Queued and pooled: a message of the old cell waits, and one of the new cell goes.
