Read the program's arguments in a module of their own

Cause: main.cpp held arguments, wiring and signals; with the library of the arguments it compiled for about a minute under sanitizers, and all tests that start the program waited for it alone. Change: relay/arguments.cpp. Measured: the two parts compile side by side; not timed on its own.

--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -1,5 +1,4 @@
-// Wiring, arguments and signals.
-#include <CLI/CLI.hpp>
+// Wiring and signals.
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <chrono>
@@ -8,6 +7,7 @@
 #include <exception>
 #include <thread>
 
+#include "arguments.h"
 #include "config.h"
 #include "disk_faults.h"
 #include "log.h"
@@ -15,47 +15,12 @@
 
 namespace {
 
-using firspool::relay::LogFormat;
+using firspool::relay::Arguments;
 using firspool::relay::LogLevel;
 
 constexpr std::chrono::seconds kStartPatience{20};  // a relay has 30 s to be ready
 constexpr std::chrono::milliseconds kStartPause{50};
 
-struct Arguments {
-  std::string config;
-  std::string state;
-  bool check = false;
-  LogFormat format = LogFormat::kText;
-  LogLevel level = LogLevel::kInfo;
-};
-
-// Arguments go before the environment. Answers the exit code where there is nothing to run.
-std::optional<int> read_arguments(int argc, char** argv, Arguments& out) {
-  CLI::App app("The relay: takes messages over RESP2 and delivers them by HTTP calls.");
-  app.add_option("--config", out.config, "the configuration, a JSON file")->envname("PROXY_CONFIG");
-  app.add_option("--state", out.state, "the folder that lasts")->envname("PROXY_STATE");
-  app.add_flag("--check", out.check, "read the configuration, say what it means, and end");
-  app.set_version_flag("--version", UMBERHOIST_VERSION);
-  const std::map<std::string, LogFormat> formats = {{"text", LogFormat::kText}, {"json", LogFormat::kJson}};
-  app.add_option("--log-format", out.format, "text or json")->transform(CLI::CheckedTransformer(formats));
-  const std::map<std::string, LogLevel> levels = {{"debug", LogLevel::kDebug},
-                                                  {"info", LogLevel::kInfo},
-                                                  {"warning", LogLevel::kWarning},
-                                                  {"error", LogLevel::kError}};
-  app.add_option("--log-level", out.level, "debug, info, warning or error")
-      ->transform(CLI::CheckedTransformer(levels));
-  try {
-    app.parse(argc, argv);
-    if (out.config.empty()) throw CLI::RequiredError("--config or PROXY_CONFIG");
-    if (out.state.empty() && !out.check) throw CLI::RequiredError("--state or PROXY_STATE");
-  } catch (const CLI::ParseError& error) {
-    if (error.get_exit_code() == 0) return app.exit(error);  // help, version
-    std::fprintf(stderr, "umberhoist: %s\n", error.what());
-    return 2;
-  }
-  return {};
-}
-
 int check(const Arguments& given) {
   try {
     std::printf("%s", describe(firspool::relay::load_config(given.config, given.state)).c_str());
