Launch the program of a test by system calls only, and tell its last line

Cause: Upgrade.IsReadyForASuccessorOnlyWhereTheSocketIsInherited failed once: the launched program said nothing for 30 s. By reading: the child of a test with several threads called setenv between fork and exec, and a lock that another thread held at the fork is never released in the child. That it stood there was not seen, since the process was gone. Change: arguments and environment are made ahead of the fork; the child makes system calls only. A program that ends before it listens is failed with its last line.

--- a/tests/peers.h
+++ b/tests/peers.h
@@ -144,6 +144,8 @@
   Socket client() const { return Socket::connect(port_); }
 
  private:
+  std::map<std::string, std::string> environment() const;
+
   nlohmann::json config_;
   std::filesystem::path folder_;
   std::filesystem::path state_;
--- a/tests/program_process.cpp
+++ b/tests/program_process.cpp
@@ -6,10 +6,18 @@
 
 #include <csignal>
 #include <fstream>
+#include <map>
+#include <string>
+#include <vector>
 
 #include "peers.h"
 
 namespace firspool::testing {
+namespace {
+
+constexpr int kInherited = 5;  // the descriptor of the listening socket in the program
+
+}  // namespace
 
 Program::Program(nlohmann::json config) : config_(std::move(config)) {
   std::string pattern = std::filesystem::temp_directory_path() / "umberhoist-test-XXXXXX";
@@ -35,29 +43,41 @@
 
 void Program::replace(const std::string& text) { std::ofstream(folder_ / "config.json") << text; }
 
+std::map<std::string, std::string> Program::environment() const {
+  std::map<std::string, std::string> out;
+  for (char** entry = ::environ; *entry != nullptr; ++entry) {
+    const std::string pair = *entry;
+    const size_t split = pair.find('=');
+    if (split != std::string::npos) out[pair.substr(0, split)] = pair.substr(split + 1);
+  }
+  out["PROXY_CONFIG"] = folder_ / "config.json";
+  out["PROXY_STATE"] = state();
+  if (inherited_ >= 0) out["PROXY_INHERITED_FD"] = std::to_string(kInherited);
+  if (!failing_calls_.empty()) out["FAILING_CALLS"] = failing_calls_;
+  return out;
+}
+
 void Program::launch(int descriptors) {
   configure(config_);
   int pipe[2];
   ASSERT_EQ(::pipe2(pipe, O_CLOEXEC), 0);
-  const std::string config = folder_ / "config.json";
-  const std::string folder = state();
+  std::vector<std::string> pairs;
+  for (const auto& [name, value] : environment()) pairs.push_back(name + "=" + value);
+  std::vector<char*> entries;
+  for (std::string& pair : pairs) entries.push_back(pair.data());
+  entries.push_back(nullptr);
+  std::string program = failing_calls_.empty() ? UMBERHOIST : FAILING_RELAY;
+  char* arguments[] = {program.data(), nullptr};
+  const rlimit limit{static_cast<rlim_t>(descriptors), static_cast<rlim_t>(descriptors)};
   child_ = ::fork();
-  if (child_ == 0) {
-    ::dup2(pipe[1], 2);
-    if (descriptors > 0) {
-      const rlimit limit{static_cast<rlim_t>(descriptors), static_cast<rlim_t>(descriptors)};
-      ::setrlimit(RLIMIT_NOFILE, &limit);
-    }
+  if (child_ == 0) {  // another thread may hold any lock: system calls only
+    ::dup2(pipe[1], STDERR_FILENO);
+    if (descriptors > 0) ::setrlimit(RLIMIT_NOFILE, &limit);
     if (inherited_ >= 0) {
-      if (inherited_ != 5) ::dup2(inherited_, 5);
-      ::fcntl(5, F_SETFD, 0);
-      ::setenv("PROXY_INHERITED_FD", "5", 1);
+      if (inherited_ != kInherited) ::dup2(inherited_, kInherited);
+      ::fcntl(kInherited, F_SETFD, 0);
     }
-    ::setenv("PROXY_CONFIG", config.c_str(), 1);
-    ::setenv("PROXY_STATE", folder.c_str(), 1);
-    if (!failing_calls_.empty()) ::setenv("FAILING_CALLS", failing_calls_.c_str(), 1);
-    const char* program = failing_calls_.empty() ? UMBERHOIST : FAILING_RELAY;
-    ::execl(program, program, nullptr);
+    ::execve(program.c_str(), arguments, entries.data());
     ::_exit(127);
   }
   ::close(pipe[1]);
@@ -65,9 +85,10 @@
 }
 
 void Program::await_listening() {
+  std::string before;
   std::string line = log_.line();
-  while (!line.empty() && !line.starts_with("listening on ")) line = log_.line();  // what came before
-  ASSERT_TRUE(line.starts_with("listening on ")) << line;
+  for (; !line.empty() && !line.starts_with("listening on "); line = log_.line()) before = line;
+  ASSERT_TRUE(line.starts_with("listening on ")) << "its last line: " << before;
   port_ = static_cast<uint16_t>(std::stoi(line.substr(line.rfind(':') + 1)));
   drain_ = std::thread([this] {  // so that a full pipe never stops the program
     char bytes[4096];
