Test SIGTERM at a process's first and last moment, and a handover whose accepts fail

Two moments of a process have no handler: between two tries of a start, and after its event loop. And the handover's accept ends for good at its first error, where the other three acceptors go on.

--- a/tests/program_signal_test.cpp
+++ b/tests/program_signal_test.cpp
@@ -1,4 +1,6 @@
 // Signals that come before the program serves, and while it drains.
+#include <sys/wait.h>
+
 #include <chrono>
 #include <csignal>
 #include <fstream>
@@ -20,15 +22,21 @@
   return false;
 }
 
-bool comes_to_catch(const Program& program, int number) {
+bool comes_to_catch(const Program& program, int number, bool wanted = true) {
   const auto last = std::chrono::steady_clock::now() + std::chrono::milliseconds(kDeadlineMs);
-  while (!catches(program, number)) {
+  while (catches(program, number) != wanted) {
     if (std::chrono::steady_clock::now() > last) return false;
     std::this_thread::yield();
   }
   return true;
 }
 
+bool has_ended(const Program& program) {
+  siginfo_t what{};
+  EXPECT_EQ(::waitid(P_PID, static_cast<id_t>(program.pid()), &what, WEXITED | WNOHANG | WNOWAIT), 0);
+  return what.si_pid == program.pid();
+}
+
 TEST(ProgramSignals, SighupBeforeItServesIsHeard) {
   Stage s;
   s.discovery.mute();
@@ -59,6 +67,28 @@
   EXPECT_EQ(id_of(s.host.next()), kId);
 }
 
+// Its files fail, so that its start is tried again and again: between two tries there is no handler.
+TEST(ProgramSignals, SigtermBetweenTwoTriesOfAStartEndsItCleanly) {
+  Stage s;
+  s.program.fail_calls("spell_ms=1000,period_ms=1000,read=1");
+  s.program.launch();
+  ASSERT_TRUE(comes_to_catch(s.program, SIGTERM));
+  ASSERT_TRUE(comes_to_catch(s.program, SIGTERM, false));
+  s.program.signal(SIGTERM);
+  EXPECT_EQ(s.program.wait(), 0);
+}
+
+// One that is told to end goes on being told until it is gone: its handlers are gone a little earlier.
+TEST(ProgramSignals, SigtermUpToItsLastMomentEndsItCleanly) {
+  Stage s;
+  s.program.start();
+  while (!has_ended(s.program)) {
+    s.program.signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  EXPECT_EQ(s.program.wait(), 0);
+}
+
 // While it drains: a second SIGTERM, a SIGHUP with a bad file and with a good one. Notices go to the new
 // place.
 TEST(ProgramSignals, SignalsWhileItDrainsEndNothingEarly) {
--- a/tests/upgrade_hard_test.cpp
+++ b/tests/upgrade_hard_test.cpp
@@ -46,6 +46,17 @@
   EXPECT_TRUE(becomes(s.old_address(), "svc_in_flight", std::to_string(kMessages)));
 }
 
+TEST(UpgradeHard, ASuccessorIsHeardThoughAcceptsFail) {
+  Upgrade s;
+  s.program.kill();
+  s.program.fail_calls("seed=5,accept=0.9");
+  s.program.start();
+  s.upgrade();
+  EXPECT_EQ(s.program.wait(), 0);
+  EXPECT_EQ(s.hand_in("00000000000000a1", facts("safe", 8)), "+OK");
+  EXPECT_EQ(id_of(s.other.next()), "00000000000000a1");
+}
+
 // The one that took over is a predecessor itself a little later.
 TEST(UpgradeHard, AnUpgradeOfAnUpgradePassesAllOn) {
   Upgrade s;
