Hold SIGTERM, SIGINT and SIGHUP back outside the event loop

Cause: the handlers lived as long as serve(); between two tries of a start, and from their end to the process's, the default action killed it. Change: signal_mask.h: the signals are blocked from main's first line and delivered while the event loop runs; the pause between two tries waits for SIGTERM and SIGINT.

--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -5,13 +5,13 @@
 #include <csignal>
 #include <cstdio>
 #include <exception>
-#include <thread>
 
 #include "arguments.h"
 #include "config.h"
 #include "disk_faults.h"
 #include "log.h"
 #include "relay.h"
+#include "signal_mask.h"
 
 namespace {
 
@@ -55,7 +55,10 @@
     if (!error) relay.stop();
   });
   follow_changes(changes, relay);
-  io.run();
+  {
+    const firspool::relay::DeliveredSignals delivered;
+    io.run();
+  }
   relay.finish_last_turn();
 }
 
@@ -69,7 +72,7 @@
       if (!fault.may_pass() || std::chrono::steady_clock::now() >= until) throw;
       firspool::relay::log_event(LogLevel::kWarning, "start_again", fault.line(), {{"reason", fault.code()}});
     }
-    std::this_thread::sleep_for(kStartPause);
+    if (firspool::relay::asked_to_end_within(kStartPause)) return;
   }
 }
 
@@ -79,6 +82,7 @@
   Arguments given;
   if (const auto code = read_arguments(argc, argv, given)) return *code;
   if (given.check) return check(given);
+  firspool::relay::block_control_signals();  // ahead of any other thread
   firspool::relay::set_up_log(given.format, given.level);
   try {
     std::signal(SIGPIPE, SIG_IGN);
