Let a successor ask again after an accept or a socket that failed

Cause: Handover::accept returned on any error, so that one EMFILE ended every later upgrade of that process; a socket that could not be had at the start was never tried again; and asio keeps ECONNABORTED to itself and waits for the next connection. Change: both are tried again after 20 ms; the acceptor says ECONNABORTED.

--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -5,7 +5,9 @@
 
 #include <boost/asio/read.hpp>
 #include <cstring>
+#include <utility>
 
+#include "log.h"
 #include "whole_write.h"
 
 namespace firspool::relay {
@@ -94,12 +96,27 @@
 }
 
 Handover::Handover(boost::asio::io_context& io, const std::filesystem::path& folder, int place, Asked asked)
-    : acceptor_(io), asked_(std::move(asked)) {
-  const Address address(folder, place);
-  ::unlink(address.path().c_str());  // of a process that is gone: the place is this one's now
-  acceptor_.open();
-  acceptor_.bind(Local::endpoint(address.path()));
-  acceptor_.listen();
+    : acceptor_(io), pause_(io), folder_(folder), place_(place), asked_(std::move(asked)) {
+  listen();
+}
+
+void Handover::listen() {
+  try {
+    const Address address(folder_, place_);
+    ::unlink(address.path().c_str());  // of a process that is gone: the place is this one's now
+    acceptor_.open();
+    acceptor_.bind(Local::endpoint(address.path()));
+    acceptor_.listen();
+    acceptor_.set_option(Local::acceptor::enable_connection_aborted(true));  // as in listen_at()
+  } catch (const boost::system::system_error& fault) {
+    if (!std::exchange(told_, true)) {
+      log_event(LogLevel::kWarning, "successor_cannot_ask",
+                std::string("a successor cannot ask yet: ") + fault.what());
+    }
+    Error ignored;
+    acceptor_.close(ignored);
+    return after_pause(&Handover::listen);
+  }
   accept();
 }
 
@@ -114,10 +131,18 @@
 
 void Handover::accept() {
   acceptor_.async_accept([this](const Error& error, Local::socket socket) {
-    if (error) return;
+    if (error == boost::asio::error::operation_aborted) return;
+    if (error) return after_pause(&Handover::accept);  // an accept at once would spin
     asked_(std::make_shared<Link>(std::move(socket)));
     accept();
   });
 }
 
+void Handover::after_pause(void (Handover::*then)()) {
+  pause_.expires_after(kPause);
+  pause_.async_wait([this, then](const Error& error) {
+    if (!error) (this->*then)();
+  });
+}
+
 }  // namespace firspool::relay
--- a/relay/handover.h
+++ b/relay/handover.h
@@ -5,6 +5,7 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/local/stream_protocol.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <deque>
 #include <filesystem>
@@ -56,7 +57,8 @@
   static constexpr auto kPause =
       std::chrono::milliseconds(20);  // before the other process is looked for again
 
-  // Listens for a successor; throws boost::system::system_error.
+  // Listens for a successor. Where the system does not let it, it is tried again and again: the process
+  // serves meanwhile.
   Handover(boost::asio::io_context& io, const std::filesystem::path& folder, int place, Asked asked);
 
   // Nothing: nobody listens there.
@@ -64,9 +66,15 @@
                                      int place);
 
  private:
+  void listen();
   void accept();
+  void after_pause(void (Handover::*then)());
 
   boost::asio::local::stream_protocol::acceptor acceptor_;
+  boost::asio::steady_timer pause_;
+  std::filesystem::path folder_;
+  int place_;
+  bool told_ = false;  // that a successor cannot ask
   Asked asked_;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -128,7 +128,10 @@
     });
   }
   replies_.add_figures("clients", [this] { return given_up_lines(clients_->given_up()); });
-  if (config_.inherited) await_successor();
+  if (config_.inherited) {
+    handover_.emplace(io_, config_.state, custody_.journal().place(),
+                      [this](std::shared_ptr<Link> link) { asked(std::move(link)); });
+  }
   listening_(clients_->address());
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -110,7 +110,6 @@
   void take_share(const std::string& text);
   void apply_share();
   // and as the predecessor of one (upgrade_predecessor.cpp).
-  void await_successor();
   void asked(std::shared_ptr<Link> link);
   void hand_over();
   void pass_on();
--- a/relay/upgrade_predecessor.cpp
+++ b/relay/upgrade_predecessor.cpp
@@ -13,16 +13,6 @@
 
 }  // namespace
 
-void Relay::await_successor() {
-  try {
-    handover_.emplace(io_, config_.state, custody_.journal().place(),
-                      [this](std::shared_ptr<Link> link) { asked(std::move(link)); });
-  } catch (const std::exception& fault) {  // it can still wait for this process to end
-    log_event(LogLevel::kWarning, "successor_cannot_ask",
-              std::string("a successor cannot ask: ") + fault.what());
-  }
-}
-
 void Relay::asked(std::shared_ptr<Link> link) {
   if (link_) return link->close();
   link_ = std::move(link);
