Test a start, a join of the fleet and first rules while calls fail

Cause: by reading each throw that may leave a handler of the event loop: it ends the process. Measured: on the program before each fails, the process ended: "open: No buffer space available", "open: Cannot allocate memory", "access.parts cannot be read".

--- a/tests/access_program_test.cpp
+++ b/tests/access_program_test.cpp
@@ -1,8 +1,9 @@
 // Customers' rules in the program as a whole.
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 
-#include "peers.h"
+#include "program_stage.h"
 
 namespace firspool::testing {
 namespace {
@@ -123,6 +124,22 @@
   EXPECT_EQ(s.asked("ACCESS RULES").at(2), "  x: deny to=a");
 }
 
+// The first rules come by SIGHUP, and what was known of other relays' hits cannot be read.
+TEST(AccessProgram, RulesThatComeWhileAFileCannotBeReadEndNothing) {
+  Regions s;
+  json plain = s.config;
+  plain["settings"]["realms"] = {{{"name", "acme"}}, {{"name", "free"}}};
+  Program program(plain);
+  program.start();
+  fs::create_directory(program.state() / "access.parts");
+  s.rules({{{"id", "no-status"}, {"say", "deny"}, {"class", {"unsafe"}}}});
+  program.configure(s.config);
+  program.signal(SIGHUP);
+  EXPECT_TRUE(becomes(s.config["operator"], "svc_reloads_ok_total", "1"));
+  EXPECT_EQ(put(program, "00000000000000a1", facts("acme", "unsafe")), "-DENIED no-status");
+  EXPECT_EQ(s.hits("no-status"), "rule own=1 fleet=1");
+}
+
 TEST(AccessProgram, WithoutRulesNoFileAndNoCallIsThere) {
   Regions s;
   s.config["settings"]["realms"] = {{{"name", "acme"}}, {{"name", "free"}}};
--- a/tests/upgrade_hard_test.cpp
+++ b/tests/upgrade_hard_test.cpp
@@ -57,6 +57,17 @@
   EXPECT_EQ(id_of(s.other.next()), "00000000000000a1");
 }
 
+// It joins the fleet in the middle of its life: a socket or file that it cannot have at once ends nothing.
+TEST(UpgradeHard, ASuccessorJoinsItsFleetThoughSocketsAndReadsFail) {
+  Upgrade s(true);
+  s.successor.fail_calls("seed=5,socket=0.7,spell_ms=1000,period_ms=1000,read=0.3");
+  s.upgrade();
+  EXPECT_EQ(s.program.wait(), 0);
+  EXPECT_TRUE(asked(s.new_address(), "FLEET").starts_with("OK"));
+  s.successor.signal(SIGTERM);
+  EXPECT_EQ(s.successor.wait(), 0);
+}
+
 // The one that took over is a predecessor itself a little later.
 TEST(UpgradeHard, AnUpgradeOfAnUpgradePassesAllOn) {
   Upgrade s;
