Try again where a socket cannot be had at a start, or as a process joins its fleet

Cause: a listening or datagram socket that failed with ENFILE, ENOBUFS or ENOMEM threw system_error or runtime_error; at the start that was final, and in a successor, or in a process that serves again, it left a handler and ended the process. So did a policy or feed record that could not be read at that moment. Change: AddressFault (address_unavailable, with its row in on-call.md) and DiskFault are SystemFaults, which know whether they may pass. main.cpp tries a start again at each; Relay::serve goes on where it stopped 20 ms later. Three ways to listen are one (listen_at); join_fleet is four functions, and keeps what is there when it is called again.

--- a/relay/clients.cpp
+++ b/relay/clients.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "client_session.h"
+#include "listening.h"
 #include "peer_state.h"
 #include "put.h"
 
@@ -15,12 +16,25 @@
 constexpr auto kRoomPause = std::chrono::milliseconds(20);
 constexpr Time kClientPatience = 400'000;  // a client that is still there sent its request no longer ago
 
+// Of an inherited socket, so that it is still at hand should a successor fail. Two processes accept from it:
+// asio never blocks in an accept, and tries again where the other was first.
+tcp::acceptor duplicate_of(boost::asio::io_context& io, const tcp::endpoint& listen, int inherited) {
+  const int own = ::fcntl(inherited, F_DUPFD_CLOEXEC, 0);
+  if (own < 0) {
+    throw AddressFault(listen, "has a socket that cannot be inherited",
+                       {errno, boost::system::system_category()});
+  }
+  tcp::acceptor out(io, listen.protocol(), own);
+  out.set_option(tcp::acceptor::enable_connection_aborted(true));  // as in listen_at()
+  return out;
+}
+
 }  // namespace
 
 Clients::Clients(boost::asio::io_context& io, const tcp::endpoint& listen, std::optional<int> inherited,
                  Limits limits, Put put, Busy busy)
     : io_(io),
-      acceptor_(io),
+      acceptor_(inherited ? duplicate_of(io, listen, *inherited) : listen_at(io, listen)),
       pause_(io),
       inherited_(inherited.has_value()),
       limits_(limits),
@@ -28,21 +42,6 @@
   add("MSG.PUT", [put = std::move(put)](const Words& words, Time read, Answer answer) {
     put(parse_put(words, read), std::move(answer));
   });
-  if (inherited) {
-    // A duplicate, so that the socket is still at hand should a successor fail. Two processes accept from it:
-    // asio never blocks in an accept, and tries again where the other was first.
-    const int own = ::fcntl(*inherited, F_DUPFD_CLOEXEC, 0);
-    if (own < 0)
-      throw boost::system::system_error(errno, boost::system::system_category(), "inherited socket");
-    acceptor_.assign(listen.protocol(), own);
-  } else {
-    acceptor_.open(listen.protocol());
-    acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    acceptor_.bind(listen);
-    acceptor_.listen();
-  }
-  // Without this asio keeps a client's broken connect to itself, and waits for the next one, blocking or not.
-  acceptor_.set_option(tcp::acceptor::enable_connection_aborted(true));
   accept();
 }
 
--- a/relay/clients.h
+++ b/relay/clients.h
@@ -33,8 +33,7 @@
   };
   static constexpr Time kMostRequest = 2'500'000;  // a request that is not whole by then never is
 
-  // Listens at once, on the socket that the platform holds if there is one. Throws
-  // boost::system::system_error.
+  // Listens at once, on the socket that the platform holds if there is one. Throws AddressFault.
   Clients(boost::asio::io_context& io, const tcp::endpoint& listen, std::optional<int> inherited,
           Limits limits, Put put, Busy busy);
   ~Clients();
--- a/relay/disk_faults.h
+++ b/relay/disk_faults.h
@@ -1,11 +1,9 @@
 // What may be wrong with files in the folder that lasts, for the operators.
 #pragma once
 
-#include <cerrno>
-#include <cstring>
 #include <filesystem>
 
-#include "umberhoist/fault.h"
+#include "system_fault.h"
 
 namespace firspool::relay {
 
@@ -16,35 +14,12 @@
 
 inline constexpr umberhoist::FaultKind kDiskFaults[] = {kFileUnreadable, kFileUnwritable};
 
-class DiskFault : public umberhoist::Fault {
+class DiskFault : public SystemFault {
  public:
   // `error`: the errno that the failed call left.
   DiskFault(const umberhoist::FaultKind& kind, const std::filesystem::path& file, const std::string& what,
             int error)
-      : Fault(kind, file.string(), what + ": " + std::strerror(error)), error_(error) {}
-
-  // Whether the same call may succeed a moment later, with nobody doing anything.
-  bool may_pass() const {
-    switch (error_) {
-      case EIO:
-      case EINTR:
-      case EAGAIN:
-      case ENOSPC:
-      case EDQUOT:
-      case EFBIG:
-      case ENOMEM:
-      case ENOBUFS:
-      case ENFILE:
-      case EMFILE:
-      case ENOLCK:
-        return true;
-      default:
-        return false;
-    }
-  }
-
- private:
-  int error_;
+      : SystemFault(kind, file.string(), what, error) {}
 };
 
 }  // namespace firspool::relay
--- a/relay/fleet_link.cpp
+++ b/relay/fleet_link.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "listening.h"
 #include "log.h"
 
 namespace firspool::relay {
@@ -43,13 +44,10 @@
   try {
     socket_.open(udp::v4());
     socket_.bind(at);
-    policy_.emplace(io, config, program, std::move(host));
   } catch (const boost::system::system_error& fault) {
-    throw std::runtime_error("fleet: " + config.name + " cannot bind " +
-                             settings_.bind.address().to_string() + ":" +
-                             std::to_string(settings_.bind.port()) + ", has another process this name? (" +
-                             fault.code().message() + ")");
+    throw AddressFault(at, "cannot be bound, has another process this name?", fault.code());
   }
+  policy_.emplace(io, config, program, std::move(host));
   socket_.non_blocking(true);
   learn_addresses();
   view_.start(steady_now());
--- a/relay/fleet_wire.cpp
+++ b/relay/fleet_wire.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fleet_wire_link.h"
+#include "listening.h"
 
 namespace firspool::relay {
 namespace {
@@ -20,7 +21,7 @@
       name_(std::move(name)),
       most_frame_(most_frame),
       heard_(std::move(heard)),
-      acceptor_(io, settings.bind),
+      acceptor_(listen_at(io, settings.bind)),
       pause_(io) {
   accept();
 }
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -8,10 +8,10 @@
 
 #include "arguments.h"
 #include "config.h"
-#include "disk_faults.h"
 #include "log.h"
 #include "relay.h"
 #include "signal_mask.h"
+#include "system_fault.h"
 
 namespace {
 
@@ -62,13 +62,13 @@
   relay.finish_last_turn();
 }
 
-// Files that fail for a moment end no process: what they hold is owed, and a start has time to be ready.
+// Calls that fail for a moment end no process: what its files hold is owed, and a start has time to be ready.
 void serve_with_retries(const Arguments& given) {
   const auto until = std::chrono::steady_clock::now() + kStartPatience;
   while (true) {
     try {
       return serve(given);
-    } catch (const firspool::relay::DiskFault& fault) {
+    } catch (const firspool::relay::SystemFault& fault) {
       if (!fault.may_pass() || std::chrono::steady_clock::now() >= until) throw;
       firspool::relay::log_event(LogLevel::kWarning, "start_again", fault.line(), {{"reason", fault.code()}});
     }
--- a/relay/operator.cpp
+++ b/relay/operator.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/read_until.hpp>
 
+#include "listening.h"
 #include "whole_write.h"
 
 namespace firspool::relay {
@@ -77,8 +78,7 @@
 };
 
 Operator::Operator(boost::asio::io_context& io, const tcp::endpoint& listen, Reply reply)
-    : io_(io), acceptor_(io, listen), pause_(io), reply_(std::move(reply)) {
-  acceptor_.set_option(tcp::acceptor::enable_connection_aborted(true));  // else it waits for the next caller
+    : io_(io), acceptor_(listen_at(io, listen)), pause_(io), reply_(std::move(reply)) {
   accept();
 }
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -107,11 +107,19 @@
   serve();
 }
 
+// Where the system does not give it what it needs now, it goes on where it stopped a little later.
 void Relay::serve() {
-  join_fleet();
-  custody_.resume(std::exchange(waiting_, {}));
-  if (budgets_) budgets_->retune(config_);  // with the limits that these came under
-  listen();
+  if (clients_ || stopping_since_ != 0) return;
+  try {
+    join_fleet();
+    custody_.resume(std::exchange(waiting_, {}));
+    if (budgets_) budgets_->retune(config_);  // with the limits that these came under
+    listen();
+  } catch (const SystemFault& fault) {
+    if (!fault.may_pass()) throw;
+    log_event(LogLevel::kWarning, "serves_later", fault.line(), {{"reason", fault.code()}});
+    return after_pause(open_timer_, [this] { serve(); });
+  }
   report();
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -86,6 +86,9 @@
   // The rules that hold, its own and the fleet's (rules.cpp).
   void share_budgets();
   void join_fleet();
+  PolicyLink::Host policy_host();
+  void open_feeds();
+  void show_fleet();
   bool reload_later();
   void reload_now();
   void take(Config next);
--- a/relay/rules.cpp
+++ b/relay/rules.cpp
@@ -36,11 +36,27 @@
   replies_.add_figures("budgets", [this] { return budgets_->figures(); });
 }
 
-// A successor joins once it serves: its predecessor has the address until then.
+// A successor joins once it serves: its predecessor has the address until then. What is there already stays,
+// so that one that failed in between is called again.
 void Relay::join_fleet() {
-  if (!config_.fleet || fleet_) return;
-  PolicyLink::Host host;
-  host.check = [this](const std::string& policy) -> std::string {
+  if (!config_.fleet) return;
+  if (!fleet_) {
+    fleet_.emplace(
+        io_, config_, UMBERHOIST_VERSION,
+        [this](int relays) {
+          if (!config_.fleet->count_view || std::exchange(relays_, relays) == relays) return;
+          apply_share();
+        },
+        policy_host());
+    if (access_) access_->join(*fleet_);
+  }
+  if (outcomes_ && !feeds_) open_feeds();
+  show_fleet();
+}
+
+PolicyLink::Host Relay::policy_host() {
+  PolicyLink::Host out;
+  out.check = [this](const std::string& policy) -> std::string {
     try {
       (void)with_policy(config_, policy);
       return "";
@@ -48,29 +64,27 @@
       return fault.what();
     }
   };
-  host.fault = [this](const std::string& policy) { return policy_fault(config_, policy); };
-  host.adopt = [this](const std::string& policy) { take(with_policy(config_, policy)); };
+  out.fault = [this](const std::string& policy) { return policy_fault(config_, policy); };
+  out.adopt = [this](const std::string& policy) { take(with_policy(config_, policy)); };
   if (budgets_) {
     budgets_->begin();
-    host.rider = &*budgets_;
-  }
-  fleet_.emplace(
-      io_, config_, UMBERHOIST_VERSION,
-      [this](int relays) {
-        if (!config_.fleet->count_view || std::exchange(relays_, relays) == relays) return;
-        apply_share();
-      },
-      std::move(host));
-  if (access_) access_->join(*fleet_);
-  if (outcomes_) {
-    const auto part = [this](double wanted) {
-      budgets_->share("feed", config_.feeds->catch_up_per_s);
-      budgets_->wanted("feed", wanted);
-      return budgets_->may("feed");
-    };
-    feeds_.emplace(io_, config_, fleet_->wire(), custody_, *outcomes_,
-                   budgets_ ? FeedLink::Budget(part) : FeedLink::Budget());
+    out.rider = &*budgets_;
   }
+  return out;
+}
+
+void Relay::open_feeds() {
+  const auto part = [this](double wanted) {
+    budgets_->share("feed", config_.feeds->catch_up_per_s);
+    budgets_->wanted("feed", wanted);
+    return budgets_->may("feed");
+  };
+  feeds_.emplace(io_, config_, fleet_->wire(), custody_, *outcomes_,
+                 budgets_ ? FeedLink::Budget(part) : FeedLink::Budget());
+}
+
+// To the operators, also while this process is not in the fleet.
+void Relay::show_fleet() {
   replies_.add("POLICY", [this](const std::string& rest) {
     return fleet_ ? fleet_->policy().call(rest) : "ERR not in the fleet now\n";
   });
--- a/relay/upgrade_predecessor.cpp
+++ b/relay/upgrade_predecessor.cpp
@@ -138,9 +138,8 @@
   standing_.left = std::move(left);
   adopt_later();
   resume_passed();
-  join_fleet();
   clients_.reset();
-  listen();
+  serve();
 }
 
 // Until its files can be written the successor's messages are known by their ids, and owed.
--- a/tests/feeds_relay_test.cpp
+++ b/tests/feeds_relay_test.cpp
@@ -7,8 +7,10 @@
 #include <iterator>
 
 #include "../access/rules.h"
+#include "disk_faults.h"
 #include "feed_settings.h"
 #include "lasting_file.h"
+#include "listening.h"
 #include "outcomes.h"
 #include "service.h"
 
@@ -161,6 +163,8 @@
   expect(feeds::kFeedFaults);
   expect(kFeedSettingsFaults);
   expect(umberhoist::access::kAccessFaults);
+  expect(kDiskFaults);
+  expect(kAddressFaults);
 }
 
 }  // namespace
