--- a/relay/incarnation.h
+++ b/relay/incarnation.h
@@ -14,7 +14,8 @@
  public:
   explicit IncarnationFile(const std::string& state);  // the folder
 
-  // The highest that this name is known to have had; 0 where the folder tells none (its peers will).
+  // The highest that this name is known to have had; 0 where the folder tells none (its peers will). Throws
+  // DiskFault.
   uint64_t stored() const;
   // Writes it where it is another than was written last. On a full disk its peers know it too, and it is
   // tried again a second later at the soonest.
--- a/relay/upgrade_successor.cpp
+++ b/relay/upgrade_successor.cpp
@@ -26,7 +26,8 @@
   if (!first) return {std::move(*second), {}, true};
   if (!second) return {std::move(*first), {}, true};
   // A journal is rather gone on with than copied.
-  if (!std::filesystem::exists(first->journal())) std::swap(first, second);
+  std::error_code unknown;
+  if (!std::filesystem::exists(first->journal(), unknown)) std::swap(first, second);
   return {std::move(*first), std::move(second), false};
 }
 
