Keep serving where the first rules come and the hits of others cannot be read

Cause: AccessLink's constructor reads access.parts; made by a SIGHUP that brings the first rules, its DiskFault left the handler.

--- a/relay/access_link.cpp
+++ b/relay/access_link.cpp
@@ -6,6 +6,7 @@
 
 #include "../fleet/reading.h"
 #include "../fleet/records.h"
+#include "disk_faults.h"
 #include "lasting_file.h"
 #include "log.h"
 
@@ -28,8 +29,15 @@
       whole_(!config.fleet),
       timer_(io) {
   retune(config);
-  const fleet::Records file = fleet::read_records(read_file(path_));
+  restore();
+}
+
+// Rules may come at any time, also while the folder's files cannot be read for a moment: this ends nothing.
+void AccessLink::restore() {
+  if (restored_) return;
   try {
+    const fleet::Records file = fleet::read_records(read_file(path_));
+    restored_ = true;
     for (const std::string& body : file.bodies) {
       const nlohmann::json whole = fleet::from_cbor(body);
       const auto wall = static_cast<Time>(fleet::number_of(fleet::at(whole, 0)));
@@ -38,6 +46,8 @@
   } catch (const fleet::Bad&) {
     log_event(LogLevel::kWarning, "access_parts_unreadable",
               "access: what was known of other relays' hits does not read; they will tell it again");
+  } catch (const DiskFault& fault) {
+    log_event(LogLevel::kWarning, "access_parts_unreadable", fault.line(), {{"reason", fault.code()}});
   }
 }
 
@@ -105,7 +115,7 @@
 }
 
 bool AccessLink::whole() {
-  if (whole_ || fleet_ == nullptr) return whole_;
+  if (whole_ || fleet_ == nullptr || !restored_) return whole_;
   const Time now = steady_now();
   const std::vector<std::string> live = fleet_->live_peers();
   const auto& parts = spread_.parts(now);
@@ -124,6 +134,11 @@
 
 void AccessLink::write() {
   written_ = steady_now();
+  restore();
+  if (!restored_) {  // what it holds is not lost yet
+    ++unwritten_;
+    return;
+  }
   if (spread_.parts(written_).empty()) return;
   const std::string stored = spread_.stored(written_, most_);
   const std::string body =
--- a/relay/access_link.h
+++ b/relay/access_link.h
@@ -50,6 +50,7 @@
   void step();
   void see_own();
   bool whole();
+  void restore();  // what was known of other relays' hits
   void write();
   std::string hits(const std::string& customer);
 
@@ -59,7 +60,8 @@
   std::string described_;
   umberhoist::access::Spread spread_;
   FleetLink* fleet_ = nullptr;  // null: it is in none now
-  bool whole_;                  // the fleet's counts may be shown
+  bool restored_ = false;
+  bool whole_;  // the fleet's counts may be shown
   Time joined_ = 0;
   Time heard_ = 0;  // when another was, last
   uint64_t exchanges_then_ = 0;
