Change nothing of an upgrade once the process has decided to end

Cause: a predecessor that has passed all on ends by itself. Where its successor died in that moment, the news was heard in finish_last_turn(): it listened again, could take requests, and ended within 100 ms. Change: the decision to end is a stop: successor_lost() and serve() look at it. The test, and two of the same shape, wanted the old process alive though it had nothing left to do; now a call is out there.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -191,6 +191,7 @@
   const bool idle =
       custody_.held().empty() && custody_.notices().empty() && (!clients_ || clients_->open() == 0);
   if (age >= kLastCall || (closed_ && idle)) {
+    if (!stopping) stopping_since_ = steady_now();  // for good: a successor that is lost now changes nothing
     return io_.stop();
   }
   stop_timer_.expires_after(std::chrono::microseconds(kStopPoll));
--- a/tests/upgrade_stage.h
+++ b/tests/upgrade_stage.h
@@ -43,6 +43,12 @@
     client.send(put_bytes(id, what));
     return client.line();
   }
+  // A call that stays out: the old process has this to wait for, and does not end by itself.
+  void keep_old_busy() {
+    int64_t id = 2'000'000'000'000'000;
+    while (hand_in(std::to_string(id), facts("unsafe")) != "+OK") ++id;  // its files may fail
+    host.next();
+  }
   nlohmann::json changed = config;
 };
 
