Ask a process of the lab to end only once it can hear

Before a program's main that signal is the system's, whatever the program would do. Change: the last SIGTERM goes to such a process as soon as it blocks or catches it; the oracle stays as strict.

--- a/lab/fleet.cpp
+++ b/lab/fleet.cpp
@@ -206,14 +206,20 @@
 void Fleet::end(std::function<void()> ended) {
   ending_ = true;
   all_ended_ = std::move(ended);
-  for (Relay& r : relays_) {
-    if (r.pid <= 0) continue;
-    if (r.state == State::kStopped) ::kill(r.pid, SIGCONT);
-    if (r.state == State::kEnding || r.state == State::kDown) continue;
-    r.state = State::kEnding;
-    r.term_at = world_.now();
-    ::kill(r.pid, SIGTERM);
+  for (int i = 0; i < static_cast<int>(relays_.size()); ++i) ask_to_end(i);
+}
+
+// One that is being started is asked as soon as it can hear.
+void Fleet::ask_to_end(int relay) {
+  Relay& r = of(relay);
+  if (r.pid <= 0 || r.state == State::kEnding || r.state == State::kDown) return;
+  if (r.state == State::kStarting && !takes_signal(r.pid, SIGTERM)) {
+    return world_.after(kReap, [this, relay] { ask_to_end(relay); });
   }
+  if (r.state == State::kStopped) ::kill(r.pid, SIGCONT);
+  r.state = State::kEnding;
+  r.term_at = world_.now();
+  ::kill(r.pid, SIGTERM);
 }
 
 void Fleet::measure() {
--- a/lab/fleet.h
+++ b/lab/fleet.h
@@ -70,6 +70,7 @@
   std::filesystem::path folder_of(int relay) const;
   bool joins_later(int relay) const;
   void launch(int relay);
+  void ask_to_end(int relay);
   void probe(int relay);
   bool open(int relay) const;
   void reap();
--- a/lab/process.cpp
+++ b/lab/process.cpp
@@ -69,6 +69,16 @@
   return Usage{cpu, memory, descriptors};
 }
 
+bool takes_signal(pid_t pid, int number) {
+  std::istringstream status(slurp(fs::path("/proc") / std::to_string(pid) / "status"));
+  for (std::string line; std::getline(status, line);) {
+    if (!line.starts_with("SigBlk:") && !line.starts_with("SigCgt:")) continue;
+    const uint64_t set = std::stoull(line.substr(line.find(':') + 1), nullptr, 16);
+    if ((set >> (number - 1) & 1) != 0) return true;
+  }
+  return false;
+}
+
 double disk_bytes(const fs::path& folder) {
   std::error_code ignored;
   double disk = 0;
--- a/lab/process.h
+++ b/lab/process.h
@@ -29,6 +29,10 @@
 // Nothing of one that has ended.
 std::optional<Usage> usage_of(pid_t pid);
 
+// Whether a signal is caught or held back there: to one that has not come so far, SIGTERM is the system's,
+// and ends it whatever the program would do.
+bool takes_signal(pid_t pid, int number);
+
 // Of the files in a folder, in whole blocks; those that vanish meanwhile are left out.
 double disk_bytes(const std::filesystem::path& folder);
 
