Take an epoll_ctl or setsockopt that fails for our own want, and try a start again at it

Cause: ENOSPC of epoll_ctl (the user watches as much as allowed) was booked as the host's failure, and a socket option that failed ended the call; a system_error of asio's own at the start (signals' pipe) was final. Change: is_own_want knows ENOSPC; what fails ahead of a connect is our own want; no_delay may fail; main.cpp tries a start again at system_errors that are own wants. The failing calls know setsockopt, and epoll_ctl of sockets. asio's own timer descriptor, watched once at the start, is left out: asio does not tell whether that failed.

--- a/relay/exchange.cpp
+++ b/relay/exchange.cpp
@@ -46,8 +46,9 @@
   Error error;
   socket_.close(error);
   socket_.open(call_.address.protocol(), error);
-  if (!error) socket_.set_option(tcp::no_delay(true), error);
-  if (error) return broke(break_by(error));
+  if (error) return broke(Break::kOwnWant);
+  Error ignored;  // it is only slower without
+  socket_.set_option(tcp::no_delay(true), ignored);
   socket_.async_connect(call_.address, [self = shared_from_this()](const Error& failed) {
     if (self->moment_ != Moment::kConnecting) return;
     if (failed == boost::asio::error::interrupted) return self->open_connection();
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -9,6 +9,7 @@
 #include "arguments.h"
 #include "config.h"
 #include "log.h"
+#include "own_want.h"
 #include "relay.h"
 #include "signal_mask.h"
 #include "system_fault.h"
@@ -71,6 +72,10 @@
     } catch (const firspool::relay::SystemFault& fault) {
       if (!fault.may_pass() || std::chrono::steady_clock::now() >= until) throw;
       firspool::relay::log_event(LogLevel::kWarning, "start_again", fault.line(), {{"reason", fault.code()}});
+    } catch (const boost::system::system_error& fault) {
+      if (!firspool::relay::is_own_want(fault.code()) || std::chrono::steady_clock::now() >= until) throw;
+      firspool::relay::log_event(LogLevel::kWarning, "start_again", fault.what(),
+                                 {{"reason", fault.code().message()}});
     }
     if (firspool::relay::asked_to_end_within(kStartPause)) return;
   }
--- a/relay/own_want.h
+++ b/relay/own_want.h
@@ -16,6 +16,7 @@
   namespace errc = boost::system::errc;
   return error == errc::too_many_files_open || error == errc::too_many_files_open_in_system ||
          error == errc::no_buffer_space || error == errc::not_enough_memory ||
+         error == errc::no_space_on_device ||  // of an epoll_ctl: the user watches as much as allowed
          error == errc::address_in_use || error == errc::address_not_available ||
          error == errc::resource_unavailable_try_again;
 }
--- a/tests/failing_calls.cpp
+++ b/tests/failing_calls.cpp
@@ -2,8 +2,9 @@
 //
 // FAILING_CALLS holds NAME=VALUE pairs with commas between: `seed`; shares of calls that fail, by name:
 // `interrupt` (EINTR of send, recv, epoll_wait), `short` (sends and receives of one byte), `accept`,
-// `socket`, `connect`, and of regular files `write` (cut short, then ENOSPC), `eio` (writes), `read` (EIO),
-// `truncate`, `rename`; files fail for the first `spell_ms` of every `period_ms` only.
+// `socket`, `connect`, `setsockopt`, `watch` (epoll_ctl that adds a socket), and of regular files `write`
+// (cut short, then ENOSPC), `eio` (writes), `read` (EIO), `truncate`, `rename`; files fail for the first
+// `spell_ms` of every `period_ms` only.
 #include <dlfcn.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -64,6 +65,11 @@
   return ::fstat(fd, &what) == 0 && S_ISREG(what.st_mode);
 }
 
+bool is_socket(int fd) {
+  struct stat what {};
+  return ::fstat(fd, &what) == 0 && S_ISSOCK(what.st_mode);
+}
+
 bool interrupted() {
   static const double share = setting("interrupt");
   return chance(share);
@@ -153,6 +159,19 @@
   return chance(share) ? fail({ENFILE, EMFILE, ENOBUFS, ENOMEM}) : real(domain, type, protocol);
 }
 
+int setsockopt(int fd, int level, int name, const void* value, socklen_t length) noexcept {
+  static const auto real = next<int(int, int, int, const void*, socklen_t)>("setsockopt");
+  static const double share = setting("setsockopt");
+  return chance(share) ? fail({ENOBUFS, ENOMEM}) : real(fd, level, name, value, length);
+}
+
+int epoll_ctl(int epoll, int operation, int fd, epoll_event* event) noexcept {
+  static const auto real = next<int(int, int, int, epoll_event*)>("epoll_ctl");
+  static const double share = setting("watch");
+  return operation == EPOLL_CTL_ADD && is_socket(fd) && chance(share) ? fail({ENOMEM, ENOSPC})
+                                                                      : real(epoll, operation, fd, event);
+}
+
 int connect(int fd, const sockaddr* address, socklen_t length) {
   static const auto real = next<int(int, const sockaddr*, socklen_t)>("connect");
   static const double share = setting("connect");
