--- a/tests/failing_calls.cpp
+++ b/tests/failing_calls.cpp
@@ -4,7 +4,8 @@
 // `interrupt` (EINTR of send, recv, epoll_wait), `short` (sends and receives of one byte), `accept`,
 // `socket`, `connect`, `setsockopt`, `watch` (epoll_ctl that adds a socket), and of regular files `write`
 // (cut short, then ENOSPC), `eio` (writes), `read` (EIO), `truncate`, `rename`; files fail for the first
-// `spell_ms` of every `period_ms` only.
+// `spell_ms` of every `period_ms` only. The wall clock is `clock_step_s` ahead in every second span of
+// `clock_every_s` seconds.
 #include <dlfcn.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -114,6 +115,18 @@
   return in_spell() && chance(share) ? fail({ENOSPC, EIO}) : real(from, to);
 }
 
+int clock_gettime(clockid_t clock, timespec* now) noexcept {
+  static const auto real = next<int(clockid_t, timespec*)>("clock_gettime");
+  static const auto step = static_cast<time_t>(setting("clock_step_s"));
+  static const auto every = static_cast<time_t>(setting("clock_every_s", 3));
+  const int result = real(clock, now);
+  if (result != 0 || clock != CLOCK_REALTIME || step == 0) return result;
+  timespec steady{};
+  real(CLOCK_MONOTONIC, &steady);
+  if (steady.tv_sec / every % 2 == 1) now->tv_sec += step;
+  return result;
+}
+
 ssize_t send(int fd, const void* bytes, size_t count, int flags) {
   static const auto real = next<ssize_t(int, const void*, size_t, int)>("send");
   return interrupted() ? fail({EINTR}) : real(fd, bytes, shortened(count), flags);
--- a/tests/fleet/failing_calls_test.cpp
+++ b/tests/fleet/failing_calls_test.cpp
@@ -25,6 +25,12 @@
                            "seed=12,interrupt=0.1,short=0.3,accept=0.1,socket=0.05,connect=0.05"));
 }
 
+// Deadlines, windows and waits are spans of real time, in one process and over a kill.
+TEST(FailingCalls, AWallClockThatStepsByAnHourChangesNothing) {
+  expect_held(play_failing("length_s=8\nsettle_s=4\nrelays=2\n[[fault]]\nkind='kill'\nat_s=3.5\nfor_s=0.6\n",
+                           "clock_step_s=3600,clock_every_s=2"));
+}
+
 // The rolling soak, short and seeded: closed loops up to the end, signals in series, partners that hang
 // across a shutdown, and a crowd.
 TEST(RollingSoak, EachPromiseIsHeldAcrossRestarts) {
