--- /dev/null
+++ b/review/stand/relay.h
@@ -0,0 +1,66 @@
+// The project's relay as a process of its own, started by the command of the deploy file, and its clients.
+#pragma once
+
+#include <sys/types.h>
+
+#include <map>
+
+#include "net.h"
+
+namespace review {
+
+struct Settings {
+  std::string categories;  // JSON, the list's items
+  std::string realms = "{\"name\":\"acme\",\"quota_per_s\":100}";
+  int siblings = 2;
+  double order_pause_s = 0;  // 0: there is none
+  std::string json() const;
+};
+
+class Relay {
+ public:
+  // From the environment: ROOT, the project's folder; RUN, the deploy file's command.
+  Relay(Record& record, std::string name, const std::string& discovery, const std::string& known,
+        const Settings& settings);
+  ~Relay();
+
+  void start();  // and waits until it serves: +PONG to PING
+  void signal(int number);
+  int wait();           // its exit status; minus the signal that ended it
+  void kill_at_once();  // SIGKILL, and waits
+  // The file is replaced, and SIGHUP sent.
+  void move_discovery(const std::string& address);
+  // What the next start is told as `known`.
+  void know(const std::string& list) { known_ = list; }
+  int port() const { return port_; }
+  std::string log_text() const;  // all that it wrote
+
+ private:
+  void write_config() const;
+
+  Record& record_;
+  const std::string name_;
+  std::string discovery_;
+  std::string known_;
+  const std::string settings_;
+  std::string folder_;
+  const int port_;
+  pid_t child_ = -1;
+};
+
+struct Put {
+  std::string id;
+  std::string message_class;
+  int dest = 0;
+  int life_ms = 28000;
+  std::string key;  // idempotency key
+  std::string sequence = "0000000000000000";
+  std::string body = "a charging session";
+};
+
+std::string put_bytes(const Put& put);
+// The relay's answer; "" where the connection is refused, ends, or nothing comes within 400 ms.
+std::string hand_in(Record& record, int port, const Put& put);
+std::string hex_id(unsigned long number);
+
+}  // namespace review
