--- a/review/stand/net.cpp
+++ b/review/stand/net.cpp
@@ -21,6 +21,15 @@
   return out;
 }
 
+int port_of(const Socket& socket) {
+  sockaddr_in at{};
+  socklen_t size = sizeof at;
+  ::getsockname(socket.fd(), reinterpret_cast<sockaddr*>(&at), &size);
+  return ntohs(at.sin_port);
+}
+
+}  // namespace
+
 Socket listen_on(int port) {
   Socket out(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
   const int on = 1;
@@ -31,15 +40,6 @@
   return out;
 }
 
-int port_of(const Socket& socket) {
-  sockaddr_in at{};
-  socklen_t size = sizeof at;
-  ::getsockname(socket.fd(), reinterpret_cast<sockaddr*>(&at), &size);
-  return ntohs(at.sin_port);
-}
-
-}  // namespace
-
 Socket::Socket(Socket&& other) noexcept
     : fd_(std::exchange(other.fd_, -1)), buffer_(std::move(other.buffer_)) {}
 
--- a/review/stand/net.h
+++ b/review/stand/net.h
@@ -64,6 +64,7 @@
   std::thread acceptor_;
 };
 
-int free_port();  // it was free a moment ago
+int free_port();             // it was free a moment ago
+Socket listen_on(int port);  // on loopback; 0: a free one
 
 }  // namespace review
--- a/review/stand/relay.cpp
+++ b/review/stand/relay.cpp
@@ -10,6 +10,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <sstream>
+#include <utility>
 
 namespace review {
 namespace {
@@ -66,6 +67,7 @@
 
 Relay::~Relay() {
   if (child_ > 0) kill_at_once();
+  if (child_ = std::exchange(before_, -1); child_ > 0) kill_at_once();
   std::error_code ignored;
   std::filesystem::remove_all(folder_, ignored);
 }
@@ -79,10 +81,14 @@
   std::filesystem::rename(folder_ + "/config.new", folder_ + "/config.json");
 }
 
-void Relay::start() {
+void Relay::inherit() { listener_ = listen_on(port_); }
+
+void Relay::launch(int staff_port) {
   const std::string root = variable("ROOT"), run = variable("RUN");
   ::setenv("PROXY_CONFIG", (folder_ + "/config.json").c_str(), 1);
   ::setenv("PROXY_STATE", (folder_ + "/state").c_str(), 1);
+  if (listener_.open()) ::setenv("PROXY_INHERITED_FD", std::to_string(listener_.fd()).c_str(), 1);
+  if (staff_port > 0) ::setenv("PROXY_OPERATOR", ("127.0.0.1:" + std::to_string(staff_port)).c_str(), 1);
   const int log = ::open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   write_config();
   record_.line(name_ + " is started, known: " + known_);
@@ -91,10 +97,15 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // it does not outlast its case
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
+    if (listener_.open()) ::fcntl(listener_.fd(), F_SETFD, 0);
     if (::chdir(root.c_str()) == 0) ::execl("/bin/sh", "sh", "-c", run.c_str(), nullptr);
     ::_exit(127);
   }
   ::close(log);
+}
+
+void Relay::start() {
+  launch(0);
   for (int left = kReadyMs; left > 0; left -= 20) {
     if (answers_ping(port_)) return record_.line(name_ + " is ready");
     if (::waitpid(child_, nullptr, WNOHANG) == child_) {
@@ -106,6 +117,25 @@
   throw CannotRun(name_ + " does not serve: " + log_text());
 }
 
+void Relay::start_successor(int staff_port) {
+  before_ = child_;
+  launch(staff_port);
+  for (int left = kReadyMs; left > 0; left -= 20) {
+    if (ask(staff_port, "STATUS").starts_with("OK")) return record_.line(name_ + "'s successor serves");
+    ::usleep(20'000);
+  }
+  throw CannotRun(name_ + "'s successor does not serve: " + log_text());
+}
+
+std::string Relay::ask(int staff_port, const std::string& call) {
+  Socket socket = Socket::connect(staff_port);
+  std::string line;
+  if (!socket.open()) return line;
+  socket.wait_at_most(1000);
+  if (!socket.send(call + "\n") || !socket.line(line)) line.clear();
+  return line;
+}
+
 std::string Relay::log_text() const {
   std::ifstream file(folder_ + "/log");
   std::stringstream out;
--- a/review/stand/relay.h
+++ b/review/stand/relay.h
@@ -24,8 +24,15 @@
         const Settings& settings);
   ~Relay();
 
+  // Listens for it, so that two processes can serve at one address, and hands the socket on from now on.
+  void inherit();
   void start();  // and waits until it serves: +PONG to PING
   void signal(int number);
+  // A further process on the same folder and socket, beside the one that serves; a second address for
+  // staff is its own. start() and signal() are the newest process's from then on.
+  void start_successor(int staff_port);
+  // What staff's address says to a call; "" where nobody answers.
+  static std::string ask(int staff_port, const std::string& call);
   int wait();           // its exit status; minus the signal that ended it
   void kill_at_once();  // SIGKILL, and waits
   // The file is replaced, and SIGHUP sent.
@@ -33,10 +40,11 @@
   // What the next start is told as `known`.
   void know(const std::string& list) { known_ = list; }
   int port() const { return port_; }
-  std::string log_text() const;  // all that it wrote
 
  private:
   void write_config() const;
+  void launch(int staff_port);
+  std::string log_text() const;
 
   Record& record_;
   const std::string name_;
@@ -45,7 +53,9 @@
   const std::string settings_;
   std::string folder_;
   const int port_;
+  Socket listener_;
   pid_t child_ = -1;
+  pid_t before_ = -1;  // the process that it takes over from
 };
 
 struct Put {
