--- a/review/stand/platform.h
+++ b/review/stand/platform.h
@@ -48,6 +48,7 @@
   std::string address;
   int cell = 0;
   std::string phase = "active";
+  double size = 50;  // calls a second that its destination takes from all relays together
   std::string json() const;
 };
 
--- a/review/stand/relay.cpp
+++ b/review/stand/relay.cpp
@@ -38,11 +38,16 @@
 std::string Settings::json() const {
   const std::string pause =
       order_pause_s > 0 ? ",\"order_pause_s\":" + std::to_string(order_pause_s) : std::string();
-  return "{\"azs\":[\"lj-dc1\"],\"kinds\":[\"agent\"],\"zone\":0,\"me\":0,\"siblings\":" +
-         std::to_string(siblings) + ",\"realms\":[" + realms + "],\"categories\":[" + categories +
+  return "{\"azs\":[\"lj-dc1\"],\"kinds\":[\"agent\"],\"zone\":0,\"me\":" + std::to_string(me) +
+         ",\"siblings\":" + std::to_string(siblings) + ",\"realms\":[" + realms + "],\"categories\":[" +
+         categories +
          R"(],"weights":"nominal","resolution_s":0.005,"discovery":"push","over_share_worth":0.1,)"
          R"("telemetry":{"how":"piggyback","fields":["x0","x1"]},"client_habits":{"marks_retry":true},)"
-         R"("family_info":{"calls_out":38,"kind_apart":[false],"kind_batch":[1],"late":"halves"},)"
+         "\"family_info\":{\"calls_out\":" +
+         std::to_string(calls_out) +
+         R"(,"kind_apart":[false],"kind_batch":[1],"late":"halves",)"
+         R"("report_x0":"share_of_the_allowance_that_is_left",)"
+         R"("report_x1":"calls_a_second_that_the_limit_allows;_0_where_there_is_none"},)"
          R"("bounds":{"open_cap":227,"max_attempts":8,"streams_per_conn":1,"may_probe":false,"peers":false,)"
          R"("cancel":true,"retry_after":true,"max_retry_after_s":3.0,"conn_idle_s":5.0,)"
          R"("connect_timeout_s":1.0,"may_duplicate":false},)"
--- a/review/stand/relay.h
+++ b/review/stand/relay.h
@@ -13,6 +13,8 @@
   std::string categories;  // JSON, the list's items
   std::string realms = "{\"name\":\"acme\",\"quota_per_s\":100}";
   int siblings = 2;
+  int me = 0;
+  int calls_out = 38;
   double order_pause_s = 0;  // 0: there is none
   std::string json() const;
 };
