--- a/review/stand/platform.cpp
+++ b/review/stand/platform.cpp
@@ -73,8 +73,8 @@
 
 std::string Entry::json() const {
   return "{\"id\":\"" + id + "\",\"host_port\":\"" + address +
-         R"(","locality":"lj-dc1","flavor":"agent","cell":)" + std::to_string(cell) + ",\"phase\":\"" +
-         phase + "\",\"size\":" + std::to_string(size) + ",\"up_since_ms\":0}";
+         "\",\"locality\":\"" + zone + R"(","flavor":"agent","cell":)" + std::to_string(cell) +
+         ",\"phase\":\"" + phase + "\",\"size\":" + std::to_string(size) + ",\"up_since_ms\":0}";
 }
 
 Discovery::Discovery(Record& record, int revision, std::vector<Entry> entries)
--- a/review/stand/platform.h
+++ b/review/stand/platform.h
@@ -49,6 +49,7 @@
   int cell = 0;
   std::string phase = "active";
   double size = 50;  // calls a second that its destination takes from all relays together
+  std::string zone = "lj-dc1";
   std::string json() const;
 };
 
--- a/review/stand/relay.cpp
+++ b/review/stand/relay.cpp
@@ -38,7 +38,10 @@
 std::string Settings::json() const {
   const std::string pause =
       order_pause_s > 0 ? ",\"order_pause_s\":" + std::to_string(order_pause_s) : std::string();
-  return "{\"azs\":[\"lj-dc1\"],\"kinds\":[\"agent\"],\"zone\":0,\"me\":" + std::to_string(me) +
+  std::string zones;
+  for (const std::string& name : azs) zones += (zones.empty() ? "\"" : ",\"") + name + "\"";
+  return "{\"azs\":[" + zones + "],\"kinds\":[\"agent\"],\"zone\":" + std::to_string(zone) +
+         ",\"me\":" + std::to_string(me) +
          ",\"siblings\":" + std::to_string(siblings) + ",\"realms\":[" + realms + "],\"categories\":[" +
          categories +
          R"(],"weights":"nominal","resolution_s":0.005,"discovery":"push","over_share_worth":0.1,)"
@@ -77,10 +80,15 @@
   std::filesystem::remove_all(folder_, ignored);
 }
 
+// New with each start, and the same in each play.
+std::string Relay::seed() const {
+  return hex_id(std::hash<std::string>{}(name_ + "/" + std::to_string(starts_)));
+}
+
 void Relay::write_config() const {
   std::ofstream(folder_ + "/config.new")
       << "{\"name\":\"" << name_ << "\",\"listen\":\"127.0.0.1:" << port_ << "\",\"discovery\":\""
-      << discovery_ << "\",\"seed\":\"8c1f30d27a5be964\","
+      << discovery_ << "\",\"seed\":\"" << seed() << "\","
       << R"("limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":3},"known":)" << known_
       << ",\"settings\":" << settings_ << "}";
   std::filesystem::rename(folder_ + "/config.new", folder_ + "/config.json");
@@ -95,6 +103,7 @@
   if (listener_.open()) ::setenv("PROXY_INHERITED_FD", std::to_string(listener_.fd()).c_str(), 1);
   if (staff_port > 0) ::setenv("PROXY_OPERATOR", ("127.0.0.1:" + std::to_string(staff_port)).c_str(), 1);
   const int log = ::open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  ++starts_;
   write_config();
   record_.line(name_ + " is started, known: " + known_);
   child_ = ::fork();
--- a/review/stand/relay.h
+++ b/review/stand/relay.h
@@ -16,6 +16,8 @@
   int me = 0;
   int calls_out = 38;
   double order_pause_s = 0;  // 0: there is none
+  std::vector<std::string> azs = {"lj-dc1"};
+  int zone = 0;  // the relay's own, among them
   std::string json() const;
 };
 
@@ -39,11 +41,13 @@
   void kill_at_once();  // SIGKILL, and waits
   // The file is replaced, and SIGHUP sent.
   void move_discovery(const std::string& address);
-  // What the next start is told as `known`.
+  // What the next start is told as `known`, and as its settings.
   void know(const std::string& list) { known_ = list; }
+  void configure(const Settings& settings) { settings_ = settings.json(); }
   int port() const { return port_; }
 
  private:
+  std::string seed() const;
   void write_config() const;
   void launch(int staff_port);
   std::string log_text() const;
@@ -52,12 +56,13 @@
   const std::string name_;
   std::string discovery_;
   std::string known_;
-  const std::string settings_;
+  std::string settings_;
   std::string folder_;
   const int port_;
   Socket listener_;
   pid_t child_ = -1;
   pid_t before_ = -1;  // the process that it takes over from
+  int starts_ = 0;     // each has a seed of its own
 };
 
 struct Put {
