--- a/review/stand/net.cpp
+++ b/review/stand/net.cpp
@@ -152,6 +152,18 @@
   }
 }
 
-int free_port() { return port_of(listen_on(0)); }
+// Below the system's own ports, so that no connection takes it meanwhile.
+int free_port() {
+  static int next = 15'000 + ::getpid() % 10'000;
+  for (int tries = 0; tries < 5'000; ++tries) {
+    next = next < 31'000 ? next + 1 : 15'000;
+    try {
+      listen_on(next);
+      return next;
+    } catch (const CannotRun&) {
+    }
+  }
+  throw CannotRun("no free port");
+}
 
 }  // namespace review
--- a/review/stand/platform.cpp
+++ b/review/stand/platform.cpp
@@ -72,9 +72,9 @@
 }
 
 std::string Entry::json() const {
-  return "{\"id\":\"" + id + "\",\"host_port\":\"" + address +
-         "\",\"locality\":\"" + zone + R"(","flavor":"agent","cell":)" + std::to_string(cell) +
-         ",\"phase\":\"" + phase + "\",\"size\":" + std::to_string(size) + ",\"up_since_ms\":0}";
+  return "{\"id\":\"" + id + "\",\"host_port\":\"" + address + "\",\"locality\":\"" + zone +
+         R"(","flavor":"agent","cell":)" + std::to_string(cell) + ",\"phase\":\"" + phase +
+         "\",\"size\":" + std::to_string(size) + ",\"up_since_ms\":0}";
 }
 
 Discovery::Discovery(Record& record, int revision, std::vector<Entry> entries)
--- a/review/stand/platform.h
+++ b/review/stand/platform.h
@@ -65,6 +65,7 @@
   std::string address() const { return server_.address(); }
   std::string known() const;                    // the whole list as JSON
   Clock::time_point tell(const Entry& change);  // to all watches; when it was written
+  void stop() { server_.stop(); }               // refuses connections, and ends those that there are
   void down(bool on);                           // silent, but for notices
   std::vector<Notice> notices() const;
 
--- a/review/stand/relay.cpp
+++ b/review/stand/relay.cpp
@@ -41,9 +41,8 @@
   std::string zones;
   for (const std::string& name : azs) zones += (zones.empty() ? "\"" : ",\"") + name + "\"";
   return "{\"azs\":[" + zones + "],\"kinds\":[\"agent\"],\"zone\":" + std::to_string(zone) +
-         ",\"me\":" + std::to_string(me) +
-         ",\"siblings\":" + std::to_string(siblings) + ",\"realms\":[" + realms + "],\"categories\":[" +
-         categories +
+         ",\"me\":" + std::to_string(me) + ",\"siblings\":" + std::to_string(siblings) + ",\"realms\":[" +
+         realms + "],\"categories\":[" + categories +
          R"(],"weights":"nominal","resolution_s":0.005,"discovery":"push","over_share_worth":0.1,)"
          R"("telemetry":{"how":"piggyback","fields":["x0","x1"]},"client_habits":{"marks_retry":true},)"
          "\"family_info\":{\"calls_out\":" +
@@ -51,8 +50,10 @@
          R"(,"kind_apart":[false],"kind_batch":[1],"late":"halves",)"
          R"("report_x0":"share_of_the_allowance_that_is_left",)"
          R"("report_x1":"calls_a_second_that_the_limit_allows;_0_where_there_is_none"},)"
-         R"("bounds":{"open_cap":227,"max_attempts":8,"streams_per_conn":1,"may_probe":false,"peers":false,)"
-         R"("cancel":true,"retry_after":true,"max_retry_after_s":3.0,"conn_idle_s":5.0,)"
+         R"("bounds":{"open_cap":227,"max_attempts":8,"streams_per_conn":1,"may_probe":false,)"
+         "\"peers\":" +
+         (peers ? "true" : "false") +
+         R"(,"cancel":true,"retry_after":true,"max_retry_after_s":3.0,"conn_idle_s":5.0,)"
          R"("connect_timeout_s":1.0,"may_duplicate":false},)"
          R"("obligations":{"answer_slack_s":0.02,"ask_every_s":10.0,"cold_s":13.0,"fall_multiple":1.5,)"
          R"("fall_s":1.5,"start_capacity":0.23,"stop_sending_within_s":2.0)" +
@@ -85,15 +86,23 @@
   return hex_id(std::hash<std::string>{}(name_ + "/" + std::to_string(starts_)));
 }
 
+std::string Relay::config() const {
+  return "{\"name\":\"" + name_ + "\",\"listen\":\"127.0.0.1:" + std::to_string(port_) +
+         "\",\"discovery\":\"" + discovery_ + "\",\"seed\":\"" + seed() + "\"," +
+         R"("limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":3},"known":)" + known_ + more_ +
+         ",\"settings\":" + settings_ + "}";
+}
+
 void Relay::write_config() const {
-  std::ofstream(folder_ + "/config.new")
-      << "{\"name\":\"" << name_ << "\",\"listen\":\"127.0.0.1:" << port_ << "\",\"discovery\":\""
-      << discovery_ << "\",\"seed\":\"" << seed() << "\","
-      << R"("limits":{"cores":1.0,"memory_mb":192,"sockets":1024,"disk_mb":3},"known":)" << known_
-      << ",\"settings\":" << settings_ << "}";
+  std::ofstream(folder_ + "/config.new") << config();
   std::filesystem::rename(folder_ + "/config.new", folder_ + "/config.json");
 }
 
+std::string Relay::write_file(const std::string& name) const {
+  std::ofstream(folder_ + "/" + name) << config();
+  return folder_ + "/" + name;
+}
+
 void Relay::inherit() { listener_ = listen_on(port_); }
 
 void Relay::launch(int staff_port) {
@@ -150,6 +159,16 @@
   return line;
 }
 
+std::string Relay::ask_all(int staff_port, const std::string& call) {
+  Socket socket = Socket::connect(staff_port);
+  std::string out, line;
+  if (!socket.open()) return out;
+  socket.wait_at_most(1000);
+  if (!socket.send(call + "\n")) return out;
+  while (socket.line(line)) out += line + "\n";
+  return out;
+}
+
 std::string Relay::log_text() const {
   std::ifstream file(folder_ + "/log");
   std::stringstream out;
--- a/review/stand/relay.h
+++ b/review/stand/relay.h
@@ -17,7 +17,8 @@
   int calls_out = 38;
   double order_pause_s = 0;  // 0: there is none
   std::vector<std::string> azs = {"lj-dc1"};
-  int zone = 0;  // the relay's own, among them
+  int zone = 0;        // the relay's own, among them
+  bool peers = false;  // relays may talk
   std::string json() const;
 };
 
@@ -37,26 +38,33 @@
   void start_successor(int staff_port);
   // What staff's address says to a call; "" where nobody answers.
   static std::string ask(int staff_port, const std::string& call);
+  static std::string ask_all(int staff_port, const std::string& call);  // all lines of it
   int wait();           // its exit status; minus the signal that ended it
   void kill_at_once();  // SIGKILL, and waits
+  // Further sections of its configuration, as members of a JSON object.
+  void extend(const std::string& members) { more_ = "," + members; }
+  std::string write_file(
+      const std::string& name) const;  // its configuration, beside the file in use; its path
   // The file is replaced, and SIGHUP sent.
   void move_discovery(const std::string& address);
   // What the next start is told as `known`, and as its settings.
   void know(const std::string& list) { known_ = list; }
   void configure(const Settings& settings) { settings_ = settings.json(); }
   int port() const { return port_; }
+  std::string log_text() const;
 
  private:
   std::string seed() const;
+  std::string config() const;
   void write_config() const;
   void launch(int staff_port);
-  std::string log_text() const;
 
   Record& record_;
   const std::string name_;
   std::string discovery_;
   std::string known_;
   std::string settings_;
+  std::string more_;
   std::string folder_;
   const int port_;
   Socket listener_;
