--- a/review/stand/relay.cpp
+++ b/review/stand/relay.cpp
@@ -190,6 +190,16 @@
   return out;
 }
 
+bool Relay::ended_by_itself() {
+  int status = 0;
+  if (child_ <= 0 || ::waitpid(child_, &status, WNOHANG) != child_) return false;
+  child_ = -1;
+  record_.line(name_ + " has ended by itself: " +
+               (WIFEXITED(status) ? "exit " + std::to_string(WEXITSTATUS(status))
+                                  : "signal " + std::to_string(WTERMSIG(status))));
+  return true;
+}
+
 void Relay::kill_at_once() {
   signal(SIGKILL);
   wait();
--- a/review/stand/relay.h
+++ b/review/stand/relay.h
@@ -39,8 +39,9 @@
   // What staff's address says to a call; "" where nobody answers.
   static std::string ask(int staff_port, const std::string& call);
   static std::string ask_all(int staff_port, const std::string& call);  // all lines of it
-  int wait();           // its exit status; minus the signal that ended it
-  void kill_at_once();  // SIGKILL, and waits
+  int wait();              // its exit status; minus the signal that ended it
+  bool ended_by_itself();  // with how recorded
+  void kill_at_once();     // SIGKILL, and waits
   // Further sections of its configuration, as members of a JSON object.
   void extend(const std::string& members) { more_ = "," + members; }
   std::string write_file(
