--- a/review/stand/relay.cpp
+++ b/review/stand/relay.cpp
@@ -150,6 +150,11 @@
   throw CannotRun(name_ + "'s successor does not serve: " + log_text());
 }
 
+void Relay::lose_successor() {
+  kill_at_once();
+  child_ = std::exchange(before_, -1);
+}
+
 std::string Relay::ask(int staff_port, const std::string& call) {
   Socket socket = Socket::connect(staff_port);
   std::string line;
--- a/review/stand/relay.h
+++ b/review/stand/relay.h
@@ -36,6 +36,8 @@
   // A further process on the same folder and socket, beside the one that serves; a second address for
   // staff is its own. start() and signal() are the newest process's from then on.
   void start_successor(int staff_port);
+  // SIGKILL to the successor. start() and signal() are the process's before it again.
+  void lose_successor();
   // What staff's address says to a call; "" where nobody answers.
   static std::string ask(int staff_port, const std::string& call);
   static std::string ask_all(int staff_port, const std::string& call);  // all lines of it
