--- a/review/stand/net.cpp
+++ b/review/stand/net.cpp
@@ -154,7 +154,7 @@
 
 // Below the system's own ports, so that no connection takes it meanwhile.
 int free_port() {
-  static int next = 15'000 + ::getpid() % 10'000;
+  static int next = 15'000 + ::getpid() * 397 % 16'000;  // cases may run side by side
   for (int tries = 0; tries < 5'000; ++tries) {
     next = next < 31'000 ? next + 1 : 15'000;
     try {
