--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -215,7 +215,7 @@
                     pass
                 return
             sock.sendall(said)
-            self.record.say(f"{self.name}: answered {call['id']} {said.split(b' ')[1].decode()}")
+            self.record.say(f"{self.name}: answered {call['id']} {said[9:12].decode('latin-1')}")
 
     def ran(self, message):
         return [c for c in self.calls if c["id"] == message]
