--- a/review/stand-2/fleet.py
+++ b/review/stand-2/fleet.py
@@ -53,7 +53,7 @@
     return base64.urlsafe_b64decode(text + "=" * (-len(text) % 4))[8:]
 
 
-def fleet_of(record, work, started, discovery, members, count=3, **more):
+def fleet_of(record, work, started, discovery, members, count=3, realms=None, **more):
     """Relays n1 to nN, all voters, with the sections fleet and feeds of deploy/example.json."""
     peers = [{"name": f"n{i}", "address": free_address(), "voter": i <= 3} for i in range(1, count + 1)]
     out = []
@@ -61,7 +61,7 @@
         how = settings()
         how["siblings"] = count
         how["bounds"]["peers"] = True
-        how["realms"] = [{"name": "acme", "quota_per_s": 100, "feeds": [{"name": "billing"}]}]
+        how["realms"] = realms or [{"name": "acme", "quota_per_s": 100, "feeds": [{"name": "billing"}]}]
         fleet = {"cluster": "example", "bind": peer["address"], "period_ms": 500, "term_ms": 3000,
                  "isolated": "refuse", "count": "view", "peers": peers}
         feeds = {"age_s": 3600, "disk_share": 0.2, "batch": 500, "catch_up_per_s": 2000}
