--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -388,21 +388,25 @@
 
 
 def play(folder, case):
-    """Runs case(record, work): True if the rule held. The exit status is the review's."""
+    """Runs case(record, work, started): whether the rule held, and what was seen. The exit status is the review's."""
     record = Record(folder)
     work = tempfile.mkdtemp(prefix="review-2-")
     started = []
-    status = 2
+    status, line = 2, "cannot run"
+
+    def asked_to_end(*_):
+        raise CannotRun("it took too long")
+
+    signal.signal(signal.SIGTERM, asked_to_end)
     try:
         held, why = case(record, work, started)
-        status = 0 if held else 1
-        record.say(("held: " if held else "BROKEN: ") + why)
-        print(("held: " if held else "BROKEN: ") + why)
+        status, line = (0, "held: " + why) if held else (1, "BROKEN: " + why)
     except Exception as fault:  # also a case's own error: it could not run
-        record.say(f"cannot run: {type(fault).__name__}: {fault}")
-        print(f"cannot run: {type(fault).__name__}: {fault}")
+        line = f"cannot run: {type(fault).__name__}: {fault}"
     finally:
         for one in started:
             one.end()
         shutil.rmtree(work, ignore_errors=True)
+        record.say(line)
+        print(line, flush=True)
     os._exit(status)
